Build skeleton, module layout and the interfaces between the parts

Cause: the project has no code; the parts can only be built side by side once the modules, the platform's port and the types of a refusal are fixed. Conclusion: the parts can start; nothing serves a request yet.

--- /dev/null
+++ b/core/src/main/java/org/bambooarch/core/inventory/DataCentre.java
@@ -0,0 +1,9 @@
+package org.bambooarch.core.inventory;
+
+/**
+ * A data centre inside a region.
+ *
+ * @param name unique name, such as {@code kochi-a}
+ * @param region name of the region that holds it
+ */
+public record DataCentre(String name, String region) {}
--- /dev/null
+++ b/core/src/main/java/org/bambooarch/core/request/OutcomeUnknown.java
@@ -0,0 +1,50 @@
+package org.bambooarch.core.request;
+
+/**
+ * A refusal of a request that may have run on a target.
+ *
+ * @param reason why the outcome is not known
+ * @param detail one sentence for the caller
+ */
+public record OutcomeUnknown(Reason reason, String detail) implements Refusal {
+
+  /** Why the outcome is not known. */
+  public enum Reason {
+    /** The connection to the target ended before the whole answer arrived. */
+    TARGET_LOST("target-lost", 502),
+    /** The answer did not arrive before the deadline. */
+    DEADLINE("deadline-after-dispatch", 504),
+    /** The answer belongs to another request or is not whole. */
+    BAD_ANSWER("bad-answer", 502),
+    /** An earlier send of the same request ended without a recorded outcome. */
+    EARLIER_SEND("earlier-send-unknown", 409);
+
+    private final String code;
+    private final int httpStatus;
+
+    Reason(String code, int httpStatus) {
+      this.code = code;
+      this.httpStatus = httpStatus;
+    }
+
+    /** Returns the stable identifier. */
+    public String code() {
+      return code;
+    }
+
+    /** Returns the HTTP status that callers see. */
+    public int httpStatus() {
+      return httpStatus;
+    }
+  }
+
+  /** Returns a refusal with an unknown outcome. */
+  public static OutcomeUnknown outcomeUnknown(Reason reason, String detail) {
+    return new OutcomeUnknown(reason, detail);
+  }
+
+  @Override
+  public String code() {
+    return reason.code();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/bambooarch/core/time/Clock.java
@@ -0,0 +1,21 @@
+package org.bambooarch.core.time;
+
+/**
+ * Source of time for decisions.
+ *
+ * <p>Monotonic time orders deadlines inside one process. Wall time is only for moments that other
+ * processes or people also know, such as the deadline of a bulk read before fieldwork.
+ *
+ * <pre>{@code
+ * long deadlineNanos = clock.monotonicNanos() + 5_000_000L;
+ * boolean passed = clock.monotonicNanos() - deadlineNanos >= 0;
+ * }</pre>
+ */
+public interface Clock {
+
+  /** Returns monotonic time in nanoseconds; only differences between two values have meaning. */
+  long monotonicNanos();
+
+  /** Returns wall time in milliseconds since the Unix epoch. */
+  long wallMillis();
+}
