Serve a request end to end: look-up, key check, target, answer

Cause: nothing served a request yet. Change: the platform's client over HTTP, which separates calls that provably had no effect from unknown ones; the log of configuration changes in the table service; a stand-in platform that can be down, slow or lose answers, and a stand-in target; an entry instance with look-up, route match, key check by digest and streaming to a server of its own data centre; refusals as problem+json with the outcome in a header. Conclusion: the thin path stands; budgets, at-most-once, membership and target health are not in it yet.

--- /dev/null
+++ b/entry/src/main/java/org/bambooarch/entry/EntryInstance.java
@@ -0,0 +1,114 @@
+package org.bambooarch.entry;
+
+import com.linecorp.armeria.server.Server;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
+import org.bambooarch.core.time.Clock;
+import org.bambooarch.core.time.SystemClock;
+import org.bambooarch.entry.control.ControlLoop;
+import org.bambooarch.entry.control.FleetView;
+import org.bambooarch.entry.lookup.LookupService;
+import org.bambooarch.entry.request.ForwardService;
+import org.bambooarch.platform.InstanceRecord;
+import org.bambooarch.platform.PlatformException;
+import org.bambooarch.platform.http.HttpPlatform;
+import org.tinylog.Logger;
+
+/**
+ * One running entry instance: it answers look-ups and carries requests to targets.
+ *
+ * <pre>{@code
+ * try (EntryInstance entry = EntryInstance.start(settings)) {
+ *   System.out.println(entry.callersPort());
+ * }
+ * }</pre>
+ */
+public final class EntryInstance implements AutoCloseable {
+
+  private static final int MAX_HEADER_BYTES = 32 * 1024;
+  private static final int MAX_HTTP1_LINE_BYTES = 8 * 1024;
+
+  private final EntrySettings settings;
+  private final HttpPlatform platform;
+  private final ControlLoop control;
+  private final Server server;
+
+  private EntryInstance(EntrySettings settings, Clock clock) {
+    this.settings = settings;
+    this.platform =
+        HttpPlatform.at(
+            settings.platformUri(), Duration.ofMillis(settings.platformTimeoutMillis()));
+    this.control = ControlLoop.over(platform, clock);
+    this.server =
+        Server.builder()
+            .http(new InetSocketAddress(settings.host(), settings.callersPort()))
+            .http1MaxHeaderSize(MAX_HEADER_BYTES)
+            .http2MaxHeaderListSize(MAX_HEADER_BYTES)
+            .http1MaxInitialLineLength(MAX_HTTP1_LINE_BYTES)
+            .maxRequestLength(0)
+            .requestTimeoutMillis(0)
+            .service(LookupService.PATH, new LookupService(control::view, settings.dataCentre()))
+            .service(
+                "prefix:/",
+                new ForwardService(
+                    control::view, settings.dataCentre(), ThreadLocalRandom::current))
+            .build();
+  }
+
+  /**
+   * Starts an instance, reads the configuration once and announces the instance.
+   *
+   * @throws PlatformException if the platform does not answer at start
+   */
+  public static EntryInstance start(EntrySettings settings) throws PlatformException {
+    EntryInstance instance = new EntryInstance(settings, SystemClock.systemClock());
+    try {
+      instance.control.start();
+      instance.server.start().join();
+      instance.platform.announce(instance.record(false));
+    } catch (PlatformException e) {
+      instance.close();
+      throw e;
+    }
+    Logger.info(
+        "event=started instance={} dataCentre={} callersPort={}",
+        settings.name(),
+        settings.dataCentre(),
+        instance.callersPort());
+    return instance;
+  }
+
+  /** Returns the port for callers. */
+  public int callersPort() {
+    return server.activeLocalPort();
+  }
+
+  /** Returns what the instance knows of the fleet at this moment. */
+  public FleetView view() {
+    return control.view();
+  }
+
+  @Override
+  public void close() {
+    control.close();
+    server.stop().join();
+    Logger.info("event=stopped instance={}", settings.name());
+  }
+
+  private InstanceRecord record(boolean leaving) {
+    return new InstanceRecord(
+        settings.name(),
+        settings.dataCentre(),
+        settings.host(),
+        callersPort(),
+        settings.peersPort(),
+        leaving);
+  }
+
+  /** Returns the instances that the platform listed last. */
+  public List<InstanceRecord> listedInstances() {
+    return control.view().instances();
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/bambooarch/entry/request/ProblemResponses.java
@@ -0,0 +1,71 @@
+package org.bambooarch.entry.request;
+
+import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.common.MediaType;
+import com.linecorp.armeria.common.ResponseHeaders;
+import com.linecorp.armeria.common.ResponseHeadersBuilder;
+import java.util.OptionalLong;
+import org.bambooarch.core.request.NotRun;
+import org.bambooarch.core.request.OutcomeUnknown;
+import org.bambooarch.core.request.Refusal;
+
+/** Writes refusals as problem+json (RFC 9457). */
+public final class ProblemResponses {
+
+  /** Header that says whether a refused request ran: {@code not-run} or {@code unknown}. */
+  public static final String OUTCOME_HEADER = "bambooarch-outcome";
+
+  private static final MediaType PROBLEM_JSON = MediaType.create("application", "problem+json");
+  private static final long MILLIS_PER_SECOND = 1000;
+
+  private ProblemResponses() {}
+
+  /** Returns the response for a refusal, with the request id echoed. */
+  public static HttpResponse of(Refusal refusal, String requestId) {
+    return switch (refusal) {
+      case NotRun notRun ->
+          response(
+              notRun,
+              "not-run",
+              HttpStatus.valueOf(notRun.reason().httpStatus()),
+              notRun.retryAfterMillis(),
+              requestId);
+      case OutcomeUnknown unknown ->
+          response(
+              unknown,
+              "unknown",
+              HttpStatus.valueOf(unknown.reason().httpStatus()),
+              OptionalLong.empty(),
+              requestId);
+    };
+  }
+
+  private static HttpResponse response(
+      Refusal refusal,
+      String outcome,
+      HttpStatus status,
+      OptionalLong retryAfterMillis,
+      String requestId) {
+    ResponseHeadersBuilder headers =
+        ResponseHeaders.builder(status)
+            .contentType(PROBLEM_JSON)
+            .add(OUTCOME_HEADER, outcome)
+            .add(ForwardService.REQUEST_ID_HEADER, requestId);
+    if (retryAfterMillis.isPresent()) {
+      long seconds = Math.ceilDiv(retryAfterMillis.getAsLong(), MILLIS_PER_SECOND);
+      headers.add("retry-after", Long.toString(Math.max(1, seconds)));
+    }
+    String body =
+        """
+        {"type":"urn:bambooarch:problem:%s","status":%d,"outcome":"%s","detail":"%s"}
+        """
+            .formatted(refusal.code(), status.code(), outcome, escape(refusal.detail()));
+    return HttpResponse.of(headers.build(), HttpData.ofUtf8(body));
+  }
+
+  private static String escape(String text) {
+    return text.replace("\\", "\\\\").replace("\"", "\\\"");
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/bambooarch/standin/MemoryTables.java
@@ -0,0 +1,91 @@
+package org.bambooarch.standin;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.bambooarch.platform.CommitResult;
+import org.bambooarch.platform.Row;
+import org.bambooarch.platform.TableService;
+import org.bambooarch.platform.Write;
+
+/** A table service in memory with serial transactions. */
+public final class MemoryTables implements TableService {
+
+  private record RowKey(String table, String key) implements Comparable<RowKey> {
+    @Override
+    public int compareTo(RowKey other) {
+      int byTable = table.compareTo(other.table);
+      return byTable != 0 ? byTable : key.compareTo(other.key);
+    }
+  }
+
+  private final TreeMap<RowKey, Row> rows = new TreeMap<>();
+  private long lastVersion;
+
+  @Override
+  public synchronized Optional<Row> read(String table, String key) {
+    return Optional.ofNullable(rows.get(new RowKey(table, key)));
+  }
+
+  @Override
+  public synchronized List<Row> scan(String table, String keyPrefix, String afterKey, int limit) {
+    List<Row> found = new ArrayList<>();
+    String from = afterKey.compareTo(keyPrefix) > 0 ? afterKey : keyPrefix;
+    for (Row row : rows.tailMap(new RowKey(table, from), true).values()) {
+      if (!row.table().equals(table) || !row.key().startsWith(keyPrefix) || found.size() >= limit) {
+        break;
+      }
+      if (row.key().compareTo(afterKey) > 0) {
+        found.add(row);
+      }
+    }
+    return found;
+  }
+
+  @Override
+  public synchronized CommitResult commit(List<Write> writes) {
+    List<Row> current = new ArrayList<>();
+    boolean conflict = false;
+    for (Write write : writes) {
+      Row row = rows.get(new RowKey(write.table(), write.key()));
+      if (!isExpected(write, row)) {
+        conflict = true;
+        if (row != null) {
+          current.add(row);
+        }
+      }
+    }
+    if (conflict) {
+      return new CommitResult.Conflict(current);
+    }
+    return new CommitResult.Committed(applyAll(writes));
+  }
+
+  private static boolean isExpected(Write write, Row row) {
+    return switch (write) {
+      case Write.Insert insert -> row == null;
+      case Write.Replace replace -> row != null && row.version() == replace.expectedVersion();
+      case Write.Delete delete -> row != null && row.version() == delete.expectedVersion();
+    };
+  }
+
+  private List<Row> applyAll(List<Write> writes) {
+    List<Row> written = new ArrayList<>();
+    for (Write write : writes) {
+      lastVersion++;
+      RowKey key = new RowKey(write.table(), write.key());
+      switch (write) {
+        case Write.Insert insert ->
+            written.add(new Row(insert.table(), insert.key(), lastVersion, insert.value()));
+        case Write.Replace replace ->
+            written.add(new Row(replace.table(), replace.key(), lastVersion, replace.value()));
+        case Write.Delete delete -> rows.remove(key);
+      }
+    }
+    for (Row row : written) {
+      rows.put(new RowKey(row.table(), row.key()), row);
+    }
+    return written;
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/bambooarch/standin/StandinPlatform.java
@@ -0,0 +1,206 @@
+package org.bambooarch.standin;
+
+import static org.bambooarch.platform.http.PlatformJson.MAPPER;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.linecorp.armeria.common.AggregatedHttpRequest;
+import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.common.MediaType;
+import com.linecorp.armeria.server.Server;
+import com.linecorp.armeria.server.ServiceRequestContext;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentSkipListMap;
+import org.bambooarch.core.time.Clock;
+import org.bambooarch.platform.CommitResult;
+import org.bambooarch.platform.InstanceRecord;
+import org.bambooarch.platform.Row;
+import org.bambooarch.platform.Write;
+import org.bambooarch.platform.http.PlatformJson;
+
+/**
+ * A stand-in of the platform: table service, object store and a lagging instance list over HTTP.
+ *
+ * <p>It keeps everything in memory and is for tests and the quickstart only.
+ */
+public final class StandinPlatform implements AutoCloseable {
+
+  private static final int MAX_OBJECT_BYTES = 1 << 30;
+
+  private record Announcement(InstanceRecord instance, long visibleFromNanos) {}
+
+  private final MemoryTables tables = new MemoryTables();
+  private final NavigableMap<String, byte[]> objects = new ConcurrentSkipListMap<>();
+  private final List<Announcement> announcements = new ArrayList<>();
+  private final Clock clock;
+  private final long listLagNanos;
+  private final Server server;
+  private volatile PlatformFaults faults = PlatformFaults.none();
+
+  private StandinPlatform(String host, int port, long listLagMillis, Clock clock) {
+    this.clock = clock;
+    this.listLagNanos = Duration.ofMillis(listLagMillis).toNanos();
+    this.server =
+        Server.builder()
+            .http(new InetSocketAddress(host, port))
+            .maxRequestLength(MAX_OBJECT_BYTES)
+            .service("prefix:/", this::serve)
+            .build();
+  }
+
+  /** Starts a stand-in on an address; port 0 takes any free port. */
+  public static StandinPlatform startOn(String host, int port, long listLagMillis, Clock clock) {
+    StandinPlatform platform = new StandinPlatform(host, port, listLagMillis, clock);
+    platform.server.start().join();
+    return platform;
+  }
+
+  /** Returns the port on which the stand-in listens. */
+  public int port() {
+    return server.activeLocalPort();
+  }
+
+  /** Returns the tables, for checks in tests. */
+  public MemoryTables tables() {
+    return tables;
+  }
+
+  /** Changes how the stand-in misbehaves from now on. */
+  public void misbehave(PlatformFaults newFaults) {
+    faults = newFaults;
+  }
+
+  @Override
+  public void close() {
+    server.stop().join();
+  }
+
+  private HttpResponse serve(ServiceRequestContext context, HttpRequest request) {
+    PlatformFaults current = faults;
+    if (current.down()) {
+      return HttpResponse.of(HttpStatus.SERVICE_UNAVAILABLE);
+    }
+    HttpResponse response =
+        HttpResponse.of(request.aggregate().thenApply(whole -> answer(context, whole, current)));
+    if (current.delayMillis() == 0) {
+      return response;
+    }
+    return HttpResponse.delayed(response, Duration.ofMillis(current.delayMillis()));
+  }
+
+  private HttpResponse answer(
+      ServiceRequestContext context, AggregatedHttpRequest request, PlatformFaults current) {
+    try {
+      HttpResponse response = route(context, request);
+      boolean isWrite = !request.method().name().equals("GET");
+      if (isWrite && current.loseAnswersOfWrites()) {
+        return HttpResponse.ofFailure(new IOException("answer lost on purpose"));
+      }
+      return response;
+    } catch (IOException e) {
+      return HttpResponse.of(HttpStatus.BAD_REQUEST, MediaType.PLAIN_TEXT_UTF_8, e.getMessage());
+    }
+  }
+
+  private HttpResponse route(ServiceRequestContext context, AggregatedHttpRequest request)
+      throws IOException {
+    return switch (context.path()) {
+      case PlatformJson.ROW_PATH -> readRow(context);
+      case PlatformJson.SCAN_PATH -> scan(context);
+      case PlatformJson.COMMIT_PATH -> commit(request);
+      case PlatformJson.OBJECT_PATH -> object(context, request);
+      case PlatformJson.OBJECTS_PATH -> listObjects(context);
+      case PlatformJson.INSTANCES_PATH -> instances(request);
+      default -> HttpResponse.of(HttpStatus.BAD_REQUEST);
+    };
+  }
+
+  private HttpResponse readRow(ServiceRequestContext context) throws JsonProcessingException {
+    Optional<Row> row = tables.read(context.queryParam("table"), context.queryParam("key"));
+    return row.isPresent() ? json(HttpStatus.OK, row.get()) : HttpResponse.of(HttpStatus.NOT_FOUND);
+  }
+
+  private HttpResponse scan(ServiceRequestContext context) throws JsonProcessingException {
+    List<Row> rows =
+        tables.scan(
+            context.queryParam("table"),
+            context.queryParam("prefix"),
+            context.queryParam("after"),
+            Integer.parseInt(context.queryParam("limit")));
+    return json(HttpStatus.OK, new PlatformJson.RowsDocument(rows));
+  }
+
+  private HttpResponse commit(AggregatedHttpRequest request) throws IOException {
+    PlatformJson.CommitDocument document =
+        MAPPER.readValue(request.content().array(), PlatformJson.CommitDocument.class);
+    List<Write> writes =
+        document.writes().stream().map(PlatformJson.WriteDocument::toWrite).toList();
+    return switch (tables.commit(writes)) {
+      case CommitResult.Committed committed ->
+          json(HttpStatus.OK, new PlatformJson.RowsDocument(committed.rows()));
+      case CommitResult.Conflict conflict ->
+          json(HttpStatus.CONFLICT, new PlatformJson.RowsDocument(conflict.current()));
+    };
+  }
+
+  private HttpResponse object(ServiceRequestContext context, AggregatedHttpRequest request) {
+    String name = context.queryParam("name");
+    switch (request.method()) {
+      case PUT -> objects.put(name, request.content().array());
+      case DELETE -> objects.remove(name);
+      default -> {
+        byte[] content = objects.get(name);
+        return content == null
+            ? HttpResponse.of(HttpStatus.NOT_FOUND)
+            : HttpResponse.of(HttpStatus.OK, MediaType.OCTET_STREAM, content);
+      }
+    }
+    return HttpResponse.of(HttpStatus.NO_CONTENT);
+  }
+
+  private HttpResponse listObjects(ServiceRequestContext context) throws JsonProcessingException {
+    String prefix = context.queryParam("prefix");
+    List<String> names =
+        objects.tailMap(prefix).keySet().stream()
+            .takeWhile(name -> name.startsWith(prefix))
+            .toList();
+    return json(HttpStatus.OK, new PlatformJson.NamesDocument(names));
+  }
+
+  private HttpResponse instances(AggregatedHttpRequest request) throws IOException {
+    if (request.content().isEmpty()) {
+      return json(HttpStatus.OK, new PlatformJson.InstancesDocument(visibleInstances()));
+    }
+    InstanceRecord instance = MAPPER.readValue(request.content().array(), InstanceRecord.class);
+    synchronized (announcements) {
+      announcements.add(new Announcement(instance, clock.monotonicNanos() + listLagNanos));
+    }
+    return HttpResponse.of(HttpStatus.NO_CONTENT);
+  }
+
+  private List<InstanceRecord> visibleInstances() {
+    Map<String, InstanceRecord> byName = new LinkedHashMap<>();
+    synchronized (announcements) {
+      for (Announcement announcement : announcements) {
+        if (announcement.visibleFromNanos() - clock.monotonicNanos() <= 0) {
+          byName.put(announcement.instance().name(), announcement.instance());
+        }
+      }
+    }
+    return List.copyOf(byName.values());
+  }
+
+  private static HttpResponse json(HttpStatus status, Object document)
+      throws JsonProcessingException {
+    return HttpResponse.of(status, MediaType.JSON, MAPPER.writeValueAsBytes(document));
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/bambooarch/standin/StandinTarget.java
@@ -0,0 +1,77 @@
+package org.bambooarch.standin;
+
+import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.common.MediaType;
+import com.linecorp.armeria.common.ResponseHeaders;
+import com.linecorp.armeria.server.Server;
+import com.linecorp.armeria.server.ServiceRequestContext;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * A stand-in of a target server that echoes the request id and says what it ran.
+ *
+ * <p>For tests and the quickstart only.
+ */
+public final class StandinTarget implements AutoCloseable {
+
+  private static final String REQUEST_ID = "x-request-id";
+
+  private final String name;
+  private final Server server;
+  private final AtomicLong requests = new AtomicLong();
+
+  private StandinTarget(String name, String host, int port) {
+    this.name = name;
+    this.server =
+        Server.builder()
+            .http(new InetSocketAddress(host, port))
+            .maxRequestLength(0)
+            .service("prefix:/", this::serve)
+            .build();
+  }
+
+  /** Starts a stand-in target on an address; port 0 takes any free port. */
+  public static StandinTarget startOn(String name, String host, int port) {
+    StandinTarget target = new StandinTarget(name, host, port);
+    target.server.start().join();
+    return target;
+  }
+
+  /** Returns the port on which the stand-in listens. */
+  public int port() {
+    return server.activeLocalPort();
+  }
+
+  /** Returns how many requests this target has seen. */
+  public long requests() {
+    return requests.get();
+  }
+
+  @Override
+  public void close() {
+    server.stop().join();
+  }
+
+  private HttpResponse serve(ServiceRequestContext context, HttpRequest request) {
+    requests.incrementAndGet();
+    return HttpResponse.of(request.aggregate().thenApply(whole -> answer(context, request)));
+  }
+
+  private HttpResponse answer(ServiceRequestContext context, HttpRequest request) {
+    String customer = request.headers().get("x-customer", "");
+    String body =
+        "target=%s method=%s path=%s customer=%s%n"
+            .formatted(name, request.method(), context.path(), customer);
+    ResponseHeaders headers =
+        ResponseHeaders.builder(HttpStatus.OK)
+            .contentType(MediaType.PLAIN_TEXT_UTF_8)
+            .add(REQUEST_ID, request.headers().get(REQUEST_ID, ""))
+            .build();
+    return HttpResponse.of(headers, HttpData.wrap(body.getBytes(StandardCharsets.UTF_8)));
+  }
+}
