Add the pure decisions of a request's life

Change: core.request.order holds the state machine of a recorded request, core.request.crash the evidence by fingerprint, core.request.header the header and answer rules, core.key the key check with a stored deadline. 'Still running' moves from NotRun to OutcomeUnknown: the order may well have run.

--- /dev/null
+++ b/core/src/main/java/org/bambooarch/core/key/KeyCheck.java
@@ -0,0 +1,85 @@
+package org.bambooarch.core.key;
+
+import java.util.Map;
+import org.bambooarch.core.config.ConfigState;
+import org.bambooarch.core.config.IssuedKey;
+import org.bambooarch.core.time.Clock;
+
+/**
+ * Checks callers' keys against the configuration that this instance holds.
+ *
+ * <p>The control thread publishes configurations and extends the stored deadline; traffic threads
+ * ask. Once the deadline has passed, no key is accepted, however the process was paused.
+ *
+ * <pre>{@code
+ * switch (keyCheck.check(key)) {
+ *   case KeyVerdict.Accepted accepted -> serve(accepted.customer());
+ *   case KeyVerdict.Rejected() -> refuse(KEY_REJECTED);
+ *   case KeyVerdict.Stale() -> refuse(KEYS_STALE);
+ * }
+ * }</pre>
+ */
+public final class KeyCheck {
+
+  /** How long a confirmation of the newest version counts, in nanoseconds: 3 s. */
+  public static final long FRESHNESS_NANOS = 3_000_000_000L;
+
+  private record Snapshot(Map<String, IssuedKey> keysByDigest, long freshUntilNanos) {}
+
+  private final Clock clock;
+  private volatile Snapshot snapshot;
+
+  private KeyCheck(Clock clock) {
+    this.clock = clock;
+    this.snapshot = new Snapshot(Map.of(), clock.monotonicNanos());
+  }
+
+  /** Returns a check that accepts no key until a configuration is published and confirmed. */
+  public static KeyCheck acceptingNothing(Clock clock) {
+    return new KeyCheck(clock);
+  }
+
+  /** Puts the keys of a configuration in force; does not extend the deadline. */
+  public synchronized void publish(ConfigState state) {
+    snapshot = new Snapshot(state.keysByDigest(), snapshot.freshUntilNanos());
+  }
+
+  /**
+   * Extends the deadline after the published version was confirmed to be the newest.
+   *
+   * @param asOfNanos monotonic moment at which it was the newest: when the question was sent
+   */
+  public synchronized void confirm(long asOfNanos) {
+    long untilNanos = asOfNanos + FRESHNESS_NANOS;
+    if (untilNanos - snapshot.freshUntilNanos() > 0) {
+      snapshot = new Snapshot(snapshot.keysByDigest(), untilNanos);
+    }
+  }
+
+  /** Checks a key. */
+  public KeyVerdict check(String key) {
+    return checkDigest(KeyDigest.of(key));
+  }
+
+  /** Checks a key by its digest, for answers that are still streaming. */
+  public KeyVerdict checkDigest(String digest) {
+    Snapshot current = snapshot;
+    IssuedKey issued = current.keysByDigest().get(digest);
+    if (issued == null || issued.withdrawn() || !KeyDigest.areEqual(issued.digest(), digest)) {
+      return isFresh(current) ? new KeyVerdict.Rejected() : new KeyVerdict.Stale();
+    }
+    if (!isFresh(current)) {
+      return new KeyVerdict.Stale();
+    }
+    return new KeyVerdict.Accepted(issued.customer(), digest);
+  }
+
+  /** Returns the monotonic moment until which keys are accepted. */
+  public long freshUntilNanos() {
+    return snapshot.freshUntilNanos();
+  }
+
+  private boolean isFresh(Snapshot current) {
+    return clock.monotonicNanos() - current.freshUntilNanos() < 0;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/bambooarch/core/key/KeyDigest.java
@@ -0,0 +1,28 @@
+package org.bambooarch.core.key;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+
+/** Computes the digests under which keys are stored and looked up. */
+public final class KeyDigest {
+
+  private KeyDigest() {}
+
+  /** Returns the SHA-256 digest of a key in lower-case hexadecimal. */
+  public static String of(String key) {
+    try {
+      MessageDigest sha256 = MessageDigest.getInstance("SHA-256");
+      return HexFormat.of().formatHex(sha256.digest(key.getBytes(StandardCharsets.UTF_8)));
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException("every Java platform has SHA-256", e);
+    }
+  }
+
+  /** Compares two digests in a time that depends only on their lengths. */
+  public static boolean areEqual(String left, String right) {
+    return MessageDigest.isEqual(
+        left.getBytes(StandardCharsets.US_ASCII), right.getBytes(StandardCharsets.US_ASCII));
+  }
+}
--- a/core/src/main/java/org/bambooarch/core/request/NotRun.java
+++ b/core/src/main/java/org/bambooarch/core/request/NotRun.java
@@ -24,8 +24,6 @@
     TOO_LARGE("too-large", 413),
     /** The idempotency key was used before with a different body. */
     KEY_REUSED("idempotency-key-reused", 422),
-    /** An earlier send of the same request is still running. */
-    STILL_RUNNING("still-running", 409),
     /** The customer has used up its rate and burst. */
     OVER_RATE("over-rate", 429),
     /** No region has room within the caps. */
--- a/core/src/main/java/org/bambooarch/core/request/OutcomeUnknown.java
+++ b/core/src/main/java/org/bambooarch/core/request/OutcomeUnknown.java
@@ -1,12 +1,17 @@
 package org.bambooarch.core.request;
 
+import java.util.OptionalLong;
+
 /**
  * A refusal of a request that may have run on a target.
  *
  * @param reason why the outcome is not known
  * @param detail one sentence for the caller
+ * @param retryAfterMillis when the caller may ask again with the same key, in milliseconds from
+ *     now, if asking again can bring an answer
  */
-public record OutcomeUnknown(Reason reason, String detail) implements Refusal {
+public record OutcomeUnknown(Reason reason, String detail, OptionalLong retryAfterMillis)
+    implements Refusal {
 
   /** Why the outcome is not known. */
   public enum Reason {
@@ -16,6 +21,8 @@
     DEADLINE("deadline-after-dispatch", 504),
     /** The answer belongs to another request or is not whole. */
     BAD_ANSWER("bad-answer", 502),
+    /** An earlier send of the same request is still running. */
+    STILL_RUNNING("still-running", 409),
     /** An earlier send of the same request ended without a recorded outcome. */
     EARLIER_SEND("earlier-send-unknown", 409);
 
@@ -40,7 +47,12 @@
 
   /** Returns a refusal with an unknown outcome. */
   public static OutcomeUnknown outcomeUnknown(Reason reason, String detail) {
-    return new OutcomeUnknown(reason, detail);
+    return new OutcomeUnknown(reason, detail, OptionalLong.empty());
+  }
+
+  /** Returns the same refusal with a time to ask again, in milliseconds from now. */
+  public OutcomeUnknown retryAfterMillis(long millis) {
+    return new OutcomeUnknown(reason, detail, OptionalLong.of(millis));
   }
 
   @Override
--- /dev/null
+++ b/core/src/main/java/org/bambooarch/core/request/RequestLife.java
@@ -0,0 +1,170 @@
+package org.bambooarch.core.request;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.bambooarch.core.request.crash.CrashStanding;
+import org.bambooarch.core.request.crash.CrashTable;
+import org.bambooarch.core.time.Clock;
+
+/**
+ * Decides which servers one request is sent to and what its caller is told in the end.
+ *
+ * <p>A request that a target may have seen is never refused as not run: {@link #sentOnce} is set
+ * before the first byte leaves and is never reset but by an attempt that provably had no effect.
+ *
+ * <p>Not thread-safe: one thread drives a request at a time.
+ */
+public final class RequestLife {
+
+  /** The shortest time that is worth a dispatch, in nanoseconds. */
+  public static final long MIN_DISPATCH_NANOS = 5_000_000L;
+
+  /** The most servers that one request is sent to. */
+  public static final int MAX_ATTEMPTS = 3;
+
+  private static final long DEFAULT_RETRY_AFTER_MILLIS = 1_000;
+  private static final long NO_TARGET_RETRY_AFTER_MILLIS = 2_000;
+
+  private final RequestFacts facts;
+  private final CrashTable crashes;
+  private final RetryBudget budget;
+  private final Clock clock;
+  private final Set<String> triedServers = new HashSet<>();
+  private boolean sentOnce;
+  private int attempts;
+
+  private RequestLife(RequestFacts facts, CrashTable crashes, RetryBudget budget, Clock clock) {
+    this.facts = facts;
+    this.crashes = crashes;
+    this.budget = budget;
+    this.clock = clock;
+  }
+
+  /** Returns the life of a request that was not sent yet. */
+  public static RequestLife of(
+      RequestFacts facts, CrashTable crashes, RetryBudget budget, Clock clock) {
+    return new RequestLife(facts, crashes, budget, clock);
+  }
+
+  /** Returns the first step. */
+  public RequestStep start() {
+    budget.onRequest();
+    return sendOrRefuse();
+  }
+
+  /** Notes the server that the next attempt goes to; call it before the first byte leaves. */
+  public void onSend(String server) {
+    triedServers.add(server);
+    attempts++;
+  }
+
+  /** Returns the step when no server can be chosen. */
+  public RequestStep onNoServer() {
+    return refuse(
+        NotRun.notRun(NotRun.Reason.NO_TARGET, "no healthy server of the service has room")
+            .retryAfterMillis(NO_TARGET_RETRY_AFTER_MILLIS));
+  }
+
+  /** Returns the step after an attempt. */
+  public RequestStep onOutcome(AttemptOutcome outcome) {
+    return switch (outcome) {
+      case AttemptOutcome.Answered() -> new RequestStep.Finished();
+      case AttemptOutcome.NotSent() -> retryUnsent();
+      case AttemptOutcome.Shed(OptionalLong retryAfterMillis) -> onShed(retryAfterMillis);
+      case AttemptOutcome.Lost(boolean died, long bytes) -> {
+        sentOnce = true;
+        yield retryOr(bytes, lost());
+      }
+      case AttemptOutcome.BadAnswer(long bytes) -> {
+        sentOnce = true;
+        yield retryOr(bytes, badAnswer());
+      }
+      case AttemptOutcome.TimedOut(long bytes) -> {
+        sentOnce = true;
+        yield retryOr(bytes, timedOut());
+      }
+    };
+  }
+
+  /** Returns whether a target may have run the request. */
+  public boolean mayHaveRun() {
+    return sentOnce;
+  }
+
+  private RequestStep retryUnsent() {
+    return canRetry() ? sendOrRefuse() : onNoServer();
+  }
+
+  private RequestStep onShed(OptionalLong retryAfterMillis) {
+    if (facts.idempotent() && canRetry()) {
+      return sendOrRefuse();
+    }
+    return refuse(
+        NotRun.notRun(NotRun.Reason.NO_ROOM, "the target shed the request and did not run it")
+            .retryAfterMillis(retryAfterMillis.orElse(DEFAULT_RETRY_AFTER_MILLIS)));
+  }
+
+  private RequestStep retryOr(long bytesToCaller, OutcomeUnknown refusal) {
+    if (!facts.idempotent() || bytesToCaller > 0 || !canRetry()) {
+      return new RequestStep.Refuse(refusal);
+    }
+    return sendOrRefuse();
+  }
+
+  private boolean canRetry() {
+    return attempts < MAX_ATTEMPTS && hasTime() && budget.tryTake();
+  }
+
+  private boolean hasTime() {
+    return facts.deadlineNanos() - clock.monotonicNanos() >= MIN_DISPATCH_NANOS;
+  }
+
+  private RequestStep sendOrRefuse() {
+    if (!hasTime()) {
+      return refuse(
+          NotRun.notRun(NotRun.Reason.DEADLINE, "the deadline passes before a target can answer"));
+    }
+    return switch (standing()) {
+      case CrashStanding.Clear() ->
+          new RequestStep.Send(Set.copyOf(triedServers), Optional.empty());
+      case CrashStanding.Suspect suspect ->
+          new RequestStep.Send(Set.copyOf(triedServers), Optional.of(suspect));
+      case CrashStanding.Stopped(long untilWallMillis) ->
+          refuse(
+              NotRun.notRun(
+                      NotRun.Reason.CRASHES_TARGETS,
+                      "two runs of this request ended with the death of their targets")
+                  .retryAfterMillis(untilWallMillis - clock.wallMillis()));
+    };
+  }
+
+  private CrashStanding standing() {
+    return facts
+        .fingerprint()
+        .map(fingerprint -> crashes.standing(fingerprint, clock.wallMillis()))
+        .orElseGet(CrashStanding.Clear::new);
+  }
+
+  private RequestStep refuse(NotRun refusal) {
+    return new RequestStep.Refuse(sentOnce ? lost() : refusal);
+  }
+
+  private static OutcomeUnknown lost() {
+    return OutcomeUnknown.outcomeUnknown(
+        OutcomeUnknown.Reason.TARGET_LOST,
+        "the connection to the target ended before the whole answer arrived");
+  }
+
+  private static OutcomeUnknown badAnswer() {
+    return OutcomeUnknown.outcomeUnknown(
+        OutcomeUnknown.Reason.BAD_ANSWER,
+        "the target's answer was not whole or not to this request");
+  }
+
+  private static OutcomeUnknown timedOut() {
+    return OutcomeUnknown.outcomeUnknown(
+        OutcomeUnknown.Reason.DEADLINE, "the target did not answer before the deadline");
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/bambooarch/core/request/crash/CrashStanding.java
@@ -0,0 +1,22 @@
+package org.bambooarch.core.request.crash;
+
+/** How far a request is suspected of crashing its targets. */
+public sealed interface CrashStanding {
+
+  /** No death is known. */
+  record Clear() implements CrashStanding {}
+
+  /**
+   * One death is known: all instances send the request to one and the same server.
+   *
+   * @param deadServer name of the server that died, which is not chosen again
+   */
+  record Suspect(String deadServer) implements CrashStanding {}
+
+  /**
+   * Two deaths are known: the request is sent to no server.
+   *
+   * @param untilWallMillis wall moment at which the evidence expires
+   */
+  record Stopped(long untilWallMillis) implements CrashStanding {}
+}
--- /dev/null
+++ b/core/src/main/java/org/bambooarch/core/request/header/HeaderRules.java
@@ -0,0 +1,163 @@
+package org.bambooarch.core.request.header;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Decides which headers pass between callers and targets.
+ *
+ * <p>Dropped in both directions: hop-by-hop headers of RFC 9110 section 7.6.1 and each header that
+ * a {@code Connection} header lists. Dropped towards targets besides: all headers that can carry a
+ * key, and all headers that only this system may set. The same rules hold for trailers, where
+ * nothing is passed on at all towards targets.
+ */
+public final class HeaderRules {
+
+  /** Header that carries the caller's key. */
+  public static final String KEY = "x-api-key";
+
+  /** Header that may carry the caller's key as a bearer token instead. */
+  public static final String AUTHORIZATION = "authorization";
+
+  /** Header that names the caller's choice of key for a non-idempotent request. */
+  public static final String IDEMPOTENCY_KEY = "idempotency-key";
+
+  /** Header that tells the target which customer sends the request. */
+  public static final String CUSTOMER = "bambooarch-customer";
+
+  /** Header that numbers a request; the target repeats it in its answer. */
+  public static final String REQUEST_ID = "bambooarch-request-id";
+
+  /** Header that gives the milliseconds that remain until the caller's deadline. */
+  public static final String DEADLINE = "bambooarch-deadline-ms";
+
+  /** Header of a refusal: {@code not-run} or {@code unknown}. */
+  public static final String OUTCOME = "bambooarch-outcome";
+
+  private static final String OWN_PREFIX = "bambooarch-";
+  private static final String BEARER_PREFIX = "bearer ";
+
+  private static final Set<String> HOP_BY_HOP =
+      Set.of(
+          "connection",
+          "keep-alive",
+          "proxy-connection",
+          "proxy-authenticate",
+          "proxy-authorization",
+          "proxy-authentication-info",
+          "te",
+          "trailer",
+          "transfer-encoding",
+          "upgrade",
+          "http2-settings",
+          "expect");
+
+  private static final Set<String> KEY_CARRIERS =
+      Set.of(KEY, AUTHORIZATION, "api-key", "apikey", "cookie", "x-api_key", "x_api_key");
+
+  private HeaderRules() {}
+
+  /** Returns the headers of a request that its target may see. */
+  public static List<HeaderField> towardsTarget(List<HeaderField> received) {
+    Optional<String> key = findKey(received).key();
+    Set<String> listed = listedByConnection(received);
+    List<HeaderField> passed = new ArrayList<>();
+    for (HeaderField field : received) {
+      String name = canonicalName(field.name());
+      if (isHopByHop(name, listed) || KEY_CARRIERS.contains(name) || name.startsWith(OWN_PREFIX)) {
+        continue;
+      }
+      if (name.startsWith(":") || !isToken(name) || carries(field.value(), key)) {
+        continue;
+      }
+      passed.add(new HeaderField(name, field.value()));
+    }
+    return passed;
+  }
+
+  /** Returns the headers of an answer that its caller may see. */
+  public static List<HeaderField> towardsCaller(List<HeaderField> received) {
+    Set<String> listed = listedByConnection(received);
+    List<HeaderField> passed = new ArrayList<>();
+    for (HeaderField field : received) {
+      String name = canonicalName(field.name());
+      if (isHopByHop(name, listed) || name.startsWith(OWN_PREFIX) || name.startsWith(":")) {
+        continue;
+      }
+      passed.add(new HeaderField(name, field.value()));
+    }
+    return passed;
+  }
+
+  /**
+   * Finds the one key that a request carries.
+   *
+   * <p>A request that carries two different keys is ambiguous: the part of the system that checks
+   * and the part that counts could choose different ones.
+   */
+  public static KeyHeader findKey(List<HeaderField> received) {
+    Set<String> keys = new HashSet<>();
+    for (HeaderField field : received) {
+      String name = canonicalName(field.name());
+      if (name.equals(KEY)) {
+        keys.add(field.value().strip());
+      } else if (name.equals(AUTHORIZATION)) {
+        bearerToken(field.value()).ifPresent(keys::add);
+      }
+    }
+    keys.remove("");
+    return switch (keys.size()) {
+      case 0 -> new KeyHeader.Missing();
+      case 1 -> new KeyHeader.Single(keys.iterator().next());
+      default -> new KeyHeader.Ambiguous();
+    };
+  }
+
+  /** Returns a header name in lower case and without surrounding white space. */
+  public static String canonicalName(String name) {
+    return name.strip().toLowerCase(Locale.ROOT);
+  }
+
+  private static boolean isHopByHop(String name, Set<String> listedByConnection) {
+    return HOP_BY_HOP.contains(name) || listedByConnection.contains(name);
+  }
+
+  private static Set<String> listedByConnection(List<HeaderField> received) {
+    Set<String> listed = new HashSet<>();
+    for (HeaderField field : received) {
+      if (!canonicalName(field.name()).equals("connection")) {
+        continue;
+      }
+      for (String name : field.value().split(",", -1)) {
+        listed.add(canonicalName(name));
+      }
+    }
+    return listed;
+  }
+
+  private static Optional<String> bearerToken(String value) {
+    String stripped = value.strip();
+    if (!stripped.toLowerCase(Locale.ROOT).startsWith(BEARER_PREFIX)) {
+      return Optional.empty();
+    }
+    return Optional.of(stripped.substring(BEARER_PREFIX.length()).strip());
+  }
+
+  private static boolean carries(String value, Optional<String> key) {
+    return key.isPresent() && value.contains(key.get());
+  }
+
+  private static boolean isToken(String name) {
+    return !name.isEmpty()
+        && name.chars()
+            .allMatch(c -> Character.isLetterOrDigit(c) && c < 0x80 || isTokenSymbol((char) c));
+  }
+
+  private static boolean isTokenSymbol(char c) {
+    return "!#$%&'*+-.^_`|~".indexOf(c) >= 0;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/bambooarch/core/request/order/OrderKey.java
@@ -0,0 +1,26 @@
+package org.bambooarch.core.request.order;
+
+/**
+ * The name under which a non-idempotent request is recorded.
+ *
+ * @param customer name of the customer that sent the request
+ * @param idempotencyKey value of the caller's {@code Idempotency-Key} header
+ */
+public record OrderKey(String customer, String idempotencyKey) {
+
+  /** The most characters that an idempotency key may have. */
+  public static final int MAX_KEY_CHARS = 128;
+
+  /** Returns the row key inside the table of orders; customers cannot reach each other's rows. */
+  public String rowKey() {
+    return customer + "/" + idempotencyKey;
+  }
+
+  /** Returns whether a header value may serve as a key: 1 to 128 visible ASCII characters. */
+  public static boolean isWellFormed(String idempotencyKey) {
+    if (idempotencyKey.isEmpty() || idempotencyKey.length() > MAX_KEY_CHARS) {
+      return false;
+    }
+    return idempotencyKey.chars().allMatch(c -> c > ' ' && c < 0x7f);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/bambooarch/core/request/order/StoredOrder.java
@@ -0,0 +1,9 @@
+package org.bambooarch.core.request.order;
+
+/**
+ * A record together with the version that the table service gave it.
+ *
+ * @param record the record
+ * @param version version to expect in the next conditional write
+ */
+public record StoredOrder(OrderRecord record, long version) {}
