--- a/core/src/main/java/org/bambooarch/core/key/KeyCheck.java
+++ b/core/src/main/java/org/bambooarch/core/key/KeyCheck.java
@@ -24,14 +24,15 @@
   /** How long a confirmation of the newest version counts, in nanoseconds: 3 s. */
   public static final long FRESHNESS_NANOS = 3_000_000_000L;
 
-  private record Snapshot(Map<String, IssuedKey> keysByDigest, long freshUntilNanos) {}
+  private record Snapshot(
+      long version, Map<String, IssuedKey> keysByDigest, long freshUntilNanos) {}
 
   private final Clock clock;
   private volatile Snapshot snapshot;
 
   private KeyCheck(Clock clock) {
     this.clock = clock;
-    this.snapshot = new Snapshot(Map.of(), clock.monotonicNanos());
+    this.snapshot = new Snapshot(0, Map.of(), clock.monotonicNanos());
   }
 
   /** Returns a check that accepts no key until a configuration is published and confirmed. */
@@ -39,9 +40,17 @@
     return new KeyCheck(clock);
   }
 
-  /** Puts the keys of a configuration in force; does not extend the deadline. */
+  /**
+   * Puts the keys of a configuration in force; does not extend the deadline.
+   *
+   * <p>An older version than the one in force is ignored, so that an overtaken answer of the store
+   * cannot bring back a withdrawn key.
+   */
   public synchronized void publish(ConfigState state) {
-    snapshot = new Snapshot(state.keysByDigest(), snapshot.freshUntilNanos());
+    if (state.version() < snapshot.version()) {
+      return;
+    }
+    snapshot = new Snapshot(state.version(), state.keysByDigest(), snapshot.freshUntilNanos());
   }
 
   /**
@@ -52,7 +61,7 @@
   public synchronized void confirm(long asOfNanos) {
     long untilNanos = asOfNanos + FRESHNESS_NANOS;
     if (untilNanos - snapshot.freshUntilNanos() > 0) {
-      snapshot = new Snapshot(snapshot.keysByDigest(), untilNanos);
+      snapshot = new Snapshot(snapshot.version(), snapshot.keysByDigest(), untilNanos);
     }
   }
 
--- a/core/src/main/java/org/bambooarch/core/key/KeyFreshness.java
+++ b/core/src/main/java/org/bambooarch/core/key/KeyFreshness.java
@@ -54,6 +54,11 @@
     confirmIfCurrent(version, askedNanos);
   }
 
+  /** Returns the newest version that this instance has heard of. */
+  public long newestVersion() {
+    return newestVersion;
+  }
+
   /** Starts a round of questions to the instances beside the store. */
   public FreshnessMessage.AskHead ask() {
     roundQuestion = nextQuestion++;
--- a/core/src/main/java/org/bambooarch/core/request/RequestLife.java
+++ b/core/src/main/java/org/bambooarch/core/request/RequestLife.java
@@ -24,6 +24,17 @@
   /** The most servers that one request is sent to. */
   public static final int MAX_ATTEMPTS = 3;
 
+  /**
+   * How long a retry waits after the death of a target, in nanoseconds.
+   *
+   * <p>Longer than a crash report takes to any instance, by message or by the table that each
+   * instance scans, so that copies of one request do not each take a server.
+   */
+  public static final long SPREAD_NANOS = 600_000_000L;
+
+  /** Longer than the spread of a crash report, so that a resend meets instances that know of it. */
+  private static final long LOST_RETRY_AFTER_MILLIS = 1_000;
+
   private static final long DEFAULT_RETRY_AFTER_MILLIS = 1_000;
   private static final long NO_TARGET_RETRY_AFTER_MILLIS = 2_000;
 
@@ -32,6 +43,7 @@
   private final RetryBudget budget;
   private final Clock clock;
   private final Set<String> triedServers = new HashSet<>();
+  private CrashStanding judgedStanding = new CrashStanding.Clear();
   private boolean sentOnce;
   private int attempts;
 
@@ -54,6 +66,16 @@
     return sendOrRefuse();
   }
 
+  /**
+   * Returns whether the last step no longer holds, because a crash report arrived since.
+   *
+   * <p>Ask right before the first byte leaves, for a request may have waited for a slot; if so, go
+   * on with {@link #onWaited}.
+   */
+  public boolean isOutdated() {
+    return !standing().equals(judgedStanding);
+  }
+
   /** Notes the server that the next attempt goes to; call it before the first byte leaves. */
   public void onSend(String server) {
     triedServers.add(server);
@@ -75,7 +97,7 @@
       case AttemptOutcome.Shed(OptionalLong retryAfterMillis) -> onShed(retryAfterMillis);
       case AttemptOutcome.Lost(boolean died, long bytes) -> {
         sentOnce = true;
-        yield retryOr(bytes, lost());
+        yield died ? retryAfterSpread(bytes) : retryOr(bytes, lost());
       }
       case AttemptOutcome.BadAnswer(long bytes) -> {
         sentOnce = true;
@@ -88,6 +110,11 @@
     };
   }
 
+  /** Returns the step after a wait. */
+  public RequestStep onWaited() {
+    return sendOrRefuse();
+  }
+
   /** Returns whether a target may have run the request. */
   public boolean mayHaveRun() {
     return sentOnce;
@@ -113,6 +140,13 @@
     return sendOrRefuse();
   }
 
+  private RequestStep retryAfterSpread(long bytesToCaller) {
+    if (!facts.idempotent() || bytesToCaller > 0 || !canRetry()) {
+      return new RequestStep.Refuse(lost());
+    }
+    return new RequestStep.Wait(clock.monotonicNanos() + SPREAD_NANOS);
+  }
+
   private boolean canRetry() {
     return attempts < MAX_ATTEMPTS && hasTime() && budget.tryTake();
   }
@@ -126,7 +160,8 @@
       return refuse(
           NotRun.notRun(NotRun.Reason.DEADLINE, "the deadline passes before a target can answer"));
     }
-    return switch (standing()) {
+    judgedStanding = standing();
+    return switch (judgedStanding) {
       case CrashStanding.Clear() ->
           new RequestStep.Send(Set.copyOf(triedServers), Optional.empty());
       case CrashStanding.Suspect suspect ->
@@ -153,8 +188,9 @@
 
   private static OutcomeUnknown lost() {
     return OutcomeUnknown.outcomeUnknown(
-        OutcomeUnknown.Reason.TARGET_LOST,
-        "the connection to the target ended before the whole answer arrived");
+            OutcomeUnknown.Reason.TARGET_LOST,
+            "the connection to the target ended before the whole answer arrived")
+        .retryAfterMillis(LOST_RETRY_AFTER_MILLIS);
   }
 
   private static OutcomeUnknown badAnswer() {
--- a/core/src/main/java/org/bambooarch/core/request/RequestStep.java
+++ b/core/src/main/java/org/bambooarch/core/request/RequestStep.java
@@ -16,6 +16,13 @@
   record Send(Set<String> excludedServers, Optional<CrashStanding.Suspect> suspect)
       implements RequestStep {}
 
+  /**
+   * Wait until a stored moment, then ask the life again.
+   *
+   * @param untilNanos monotonic moment
+   */
+  record Wait(long untilNanos) implements RequestStep {}
+
   /** The caller has, or now gets, the whole answer. */
   record Finished() implements RequestStep {}
 
--- a/core/src/main/java/org/bambooarch/core/request/header/HeaderRules.java
+++ b/core/src/main/java/org/bambooarch/core/request/header/HeaderRules.java
@@ -27,18 +27,25 @@
   public static final String IDEMPOTENCY_KEY = "idempotency-key";
 
   /** Header that tells the target which customer sends the request. */
-  public static final String CUSTOMER = "bambooarch-customer";
+  public static final String CUSTOMER = "x-customer";
 
   /** Header that numbers a request; the target repeats it in its answer. */
-  public static final String REQUEST_ID = "bambooarch-request-id";
+  public static final String REQUEST_ID = "x-request-id";
 
   /** Header that gives the milliseconds that remain until the caller's deadline. */
-  public static final String DEADLINE = "bambooarch-deadline-ms";
+  public static final String DEADLINE = "x-deadline-ms";
 
   /** Header of a refusal: {@code not-run} or {@code unknown}. */
   public static final String OUTCOME = "bambooarch-outcome";
 
+  /**
+   * Header of a refusal of a keyed request whose record was not read: {@code unchecked}. The
+   * refusal then speaks of this send only, and an earlier send with the same key may have run.
+   */
+  public static final String EARLIER_SENDS = "bambooarch-earlier-sends";
+
   private static final String OWN_PREFIX = "bambooarch-";
+  private static final Set<String> OWN = Set.of(CUSTOMER, REQUEST_ID, DEADLINE);
   private static final String BEARER_PREFIX = "bearer ";
 
   private static final Set<String> HOP_BY_HOP =
@@ -68,7 +75,7 @@
     List<HeaderField> passed = new ArrayList<>();
     for (HeaderField field : received) {
       String name = canonicalName(field.name());
-      if (isHopByHop(name, listed) || KEY_CARRIERS.contains(name) || name.startsWith(OWN_PREFIX)) {
+      if (isHopByHop(name, listed) || KEY_CARRIERS.contains(name) || isOwn(name)) {
         continue;
       }
       if (name.startsWith(":") || !isToken(name) || carries(field.value(), key)) {
@@ -85,7 +92,7 @@
     List<HeaderField> passed = new ArrayList<>();
     for (HeaderField field : received) {
       String name = canonicalName(field.name());
-      if (isHopByHop(name, listed) || name.startsWith(OWN_PREFIX) || name.startsWith(":")) {
+      if (isHopByHop(name, listed) || isOwn(name) || name.startsWith(":")) {
         continue;
       }
       passed.add(new HeaderField(name, field.value()));
@@ -126,6 +133,10 @@
     return HOP_BY_HOP.contains(name) || listedByConnection.contains(name);
   }
 
+  private static boolean isOwn(String name) {
+    return OWN.contains(name) || name.startsWith(OWN_PREFIX);
+  }
+
   private static Set<String> listedByConnection(List<HeaderField> received) {
     Set<String> listed = new HashSet<>();
     for (HeaderField field : received) {
