Read inventories strictly and report all findings together

Cause: operators had no way to declare places, services, servers, customers and client blocks, and a mistake would have reached every instance.

--- /dev/null
+++ b/inventory/src/main/java/org/bambooarch/inventory/InventoryDiff.java
@@ -0,0 +1,76 @@
+package org.bambooarch.inventory;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.bambooarch.core.inventory.ClientBlock;
+import org.bambooarch.core.inventory.Customer;
+import org.bambooarch.core.inventory.DataCentre;
+import org.bambooarch.core.inventory.DrainRule;
+import org.bambooarch.core.inventory.Inventory;
+import org.bambooarch.core.inventory.Link;
+import org.bambooarch.core.inventory.Region;
+import org.bambooarch.core.inventory.Route;
+import org.bambooarch.core.inventory.Server;
+import org.bambooarch.core.inventory.Service;
+import org.bambooarch.inventory.internal.diff.TableDiff;
+
+/**
+ * The difference between two inventories in lines that a person reads.
+ *
+ * <p>A line starts with {@code +} for an added entry, {@code -} for a removed one and {@code ~} for
+ * a changed one:
+ *
+ * <pre>
+ * + customer onam-pop-up: requestsPerSecond=20.0 burstRequests=40
+ * ~ server catalogue-kochi-a-1: slots 4 -> 6
+ * - drain REGION tvm
+ * </pre>
+ */
+public final class InventoryDiff {
+
+  private InventoryDiff() {}
+
+  /** Returns the lines that lead from one inventory to the other; empty if they are equal. */
+  public static List<String> between(Inventory from, Inventory to) {
+    List<String> lines = new ArrayList<>();
+    TableDiff.of("region", Region::name).compare(from.regions(), to.regions(), lines);
+    TableDiff.of("data centre", DataCentre::name)
+        .compare(from.dataCentres(), to.dataCentres(), lines);
+    TableDiff.of("link", InventoryDiff::linkName).compare(from.links(), to.links(), lines);
+    TableDiff.of("service", Service::name).compare(names(from), names(to), lines);
+    TableDiff.of("route", NamedRoute::fullName).compare(routes(from), routes(to), lines);
+    TableDiff.of("server", Server::name).compare(from.servers(), to.servers(), lines);
+    TableDiff.of("customer", Customer::name).compare(from.customers(), to.customers(), lines);
+    TableDiff.of("client block", ClientBlock::cidr)
+        .compare(from.clientBlocks(), to.clientBlocks(), lines);
+    TableDiff.of("drain", InventoryDiff::drainName).compare(from.drains(), to.drains(), lines);
+    return lines;
+  }
+
+  private static String linkName(Link link) {
+    return link.fromRegion() + " -> " + link.toRegion();
+  }
+
+  private static String drainName(DrainRule rule) {
+    return rule.kind() + " " + rule.name();
+  }
+
+  /** Strips the routes, which are compared as a table of their own. */
+  private static List<Service> names(Inventory inventory) {
+    return inventory.services().stream()
+        .map(service -> new Service(service.name(), List.of()))
+        .toList();
+  }
+
+  private static List<NamedRoute> routes(Inventory inventory) {
+    List<NamedRoute> all = new ArrayList<>();
+    for (Service service : inventory.services()) {
+      for (Route route : service.routes()) {
+        all.add(new NamedRoute(service.name() + "/" + route.name(), route));
+      }
+    }
+    return all;
+  }
+
+  private record NamedRoute(String fullName, Route route) {}
+}
--- /dev/null
+++ b/inventory/src/main/java/org/bambooarch/inventory/error/FileErrors.java
@@ -0,0 +1,35 @@
+package org.bambooarch.inventory.error;
+
+import static org.bambooarch.inventory.Finding.findingAt;
+
+import java.io.IOException;
+import java.util.Collection;
+import org.bambooarch.inventory.Finding;
+import org.bambooarch.inventory.Location;
+
+/** Findings about the files of an inventory directory. */
+public final class FileErrors {
+
+  private FileErrors() {}
+
+  /** The given path is no directory. */
+  public static Finding notDirectory(Location where) {
+    return findingAt(where, "expected a directory with the inventory's JSON files; found none");
+  }
+
+  /** A file that every inventory has is not there. */
+  public static Finding missingFile(Location where) {
+    return findingAt(where, "expected this file in the directory; it is missing");
+  }
+
+  /** A JSON file that no reader knows. */
+  public static Finding unknownFile(Location where, Collection<String> known) {
+    String names = String.join(", ", known);
+    return findingAt(where, "unknown file; expected only " + names);
+  }
+
+  /** A file that cannot be read. */
+  public static Finding unreadable(Location where, IOException cause) {
+    return findingAt(where, "expected UTF-8 text; reading failed with " + cause);
+  }
+}
--- /dev/null
+++ b/inventory/src/main/java/org/bambooarch/inventory/error/NameErrors.java
@@ -0,0 +1,31 @@
+package org.bambooarch.inventory.error;
+
+import static org.bambooarch.inventory.Finding.findingAt;
+
+import org.bambooarch.inventory.Finding;
+import org.bambooarch.inventory.Location;
+
+/** Findings about names and the entries that they refer to. */
+public final class NameErrors {
+
+  private NameErrors() {}
+
+  /** A name, or another identifying value, that an earlier entry already has. */
+  public static Finding duplicate(Location where, String kind, String value, Location first) {
+    return findingAt(
+        where, "expected a unique " + kind + "; \"" + value + "\" is already at " + first);
+  }
+
+  /** A reference to an entry that does not exist. */
+  public static Finding dangling(Location where, String kind, String name) {
+    return findingAt(
+        where, "expected the name of a " + kind + "; no " + kind + " \"" + name + "\"");
+  }
+
+  /** An entry that nothing serves. */
+  public static Finding notUsed(Location where, String kind, String name, String missing) {
+    return findingAt(
+        where,
+        "expected at least one " + missing + " for " + kind + " \"" + name + "\"; found none");
+  }
+}
--- /dev/null
+++ b/inventory/src/main/java/org/bambooarch/inventory/error/ShapeErrors.java
@@ -0,0 +1,46 @@
+package org.bambooarch.inventory.error;
+
+import static org.bambooarch.inventory.Finding.findingAt;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.Collection;
+import java.util.Locale;
+import java.util.TreeSet;
+import org.bambooarch.inventory.Finding;
+import org.bambooarch.inventory.Location;
+
+/** Findings about JSON text, its fields and their types. */
+public final class ShapeErrors {
+
+  private static final int SHOWN_CHARACTERS = 40;
+
+  private ShapeErrors() {}
+
+  /** Text that is no JSON. */
+  public static Finding malformed(Location where, int line, int column, String problem) {
+    String firstLine = problem.lines().findFirst().orElse("unknown problem");
+    return findingAt(where, "malformed JSON at " + line + ":" + column + ": " + firstLine);
+  }
+
+  /** A value of another JSON type. */
+  public static Finding wrongType(Location where, String expected, JsonNode actual) {
+    String type = actual.getNodeType().name().toLowerCase(Locale.ROOT);
+    return findingAt(where, "expected " + expected + "; found " + type + " " + shortened(actual));
+  }
+
+  /** A required field that is not there. */
+  public static Finding missingField(Location where, String field) {
+    return findingAt(where, "expected field \"" + field + "\"; it is missing");
+  }
+
+  /** A field that nobody reads. */
+  public static Finding unknownField(Location where, String field, Collection<String> known) {
+    String names = String.join(", ", new TreeSet<>(known));
+    return findingAt(where, "unknown field \"" + field + "\"; expected only " + names);
+  }
+
+  private static String shortened(JsonNode node) {
+    String text = node.toString();
+    return text.length() <= SHOWN_CHARACTERS ? text : text.substring(0, SHOWN_CHARACTERS) + "...";
+  }
+}
--- /dev/null
+++ b/inventory/src/main/java/org/bambooarch/inventory/internal/check/ClientBlockCheck.java
@@ -0,0 +1,84 @@
+package org.bambooarch.inventory.internal.check;
+
+import static org.bambooarch.inventory.error.BlockErrors.notBlock;
+import static org.bambooarch.inventory.error.BlockErrors.overlappingBlock;
+import static org.bambooarch.inventory.error.BlockErrors.sameBlock;
+import static org.bambooarch.inventory.error.BlockErrors.wrongException;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import org.bambooarch.core.inventory.ClientBlock;
+import org.bambooarch.inventory.Findings;
+import org.bambooarch.inventory.Location;
+import org.bambooarch.inventory.internal.read.InventoryDraft;
+import org.bambooarch.inventory.internal.read.Located;
+
+/**
+ * Client blocks are well formed and overlap only where that is declared.
+ *
+ * <p>Two blocks overlap only if one lies inside the other. One pass over the sorted blocks with a
+ * stack of the blocks around the current one finds every such pair.
+ */
+final class ClientBlockCheck implements Check {
+
+  @Override
+  public void run(InventoryDraft draft, Findings findings) {
+    List<Entry> entries = parsed(draft, findings);
+    entries.sort((a, b) -> a.cidr().compareTo(b.cidr()));
+    Deque<Entry> around = new ArrayDeque<>();
+    for (Entry entry : entries) {
+      while (!around.isEmpty() && !around.peek().cidr().contains(entry.cidr())) {
+        around.pop();
+      }
+      check(entry, around.peek(), draft, findings);
+      around.push(entry);
+    }
+  }
+
+  private static List<Entry> parsed(InventoryDraft draft, Findings findings) {
+    List<Entry> entries = new ArrayList<>();
+    for (Located<ClientBlock> row : draft.clientBlocks()) {
+      String text = row.value().cidr();
+      if (text.isEmpty()) {
+        continue;
+      }
+      Location where = row.where().child("cidr");
+      Optional<Cidr> cidr = Cidr.parse(text);
+      if (cidr.isEmpty()) {
+        findings.add(notBlock(where, text, "not an address, a slash and a prefix length"));
+      } else if (!cidr.get().hasNoHostBits()) {
+        findings.add(notBlock(where, text, "bits are set behind the prefix"));
+      } else {
+        entries.add(new Entry(cidr.get(), row));
+      }
+    }
+    return entries;
+  }
+
+  private static void check(Entry entry, Entry outer, InventoryDraft draft, Findings findings) {
+    Location where = entry.row().where();
+    ClientBlock block = entry.row().value();
+    String declared = draft.outerBlocks().getOrDefault(where, "");
+    if (outer == null) {
+      if (!declared.isEmpty()) {
+        findings.add(wrongException(where.child("exceptionTo"), declared, ""));
+      }
+      return;
+    }
+    Location outerWhere = outer.row().where();
+    String outerCidr = outer.row().value().cidr();
+    if (outer.cidr().equals(entry.cidr())) {
+      findings.add(
+          sameBlock(where.child("cidr"), outerCidr, outer.row().value().dataCentre(), outerWhere));
+    } else if (declared.isEmpty()) {
+      findings.add(overlappingBlock(where.child("cidr"), block.cidr(), outerCidr, outerWhere));
+    } else if (!Cidr.parse(declared).equals(Optional.of(outer.cidr()))) {
+      findings.add(wrongException(where.child("exceptionTo"), declared, outerCidr));
+    }
+  }
+
+  private record Entry(Cidr cidr, Located<ClientBlock> row) {}
+}
--- /dev/null
+++ b/inventory/src/main/java/org/bambooarch/inventory/internal/check/LinkCheck.java
@@ -0,0 +1,69 @@
+package org.bambooarch.inventory.internal.check;
+
+import static org.bambooarch.inventory.error.LinkErrors.linkToItself;
+import static org.bambooarch.inventory.error.LinkErrors.missingLink;
+import static org.bambooarch.inventory.error.NameErrors.dangling;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.bambooarch.core.inventory.Link;
+import org.bambooarch.core.inventory.Region;
+import org.bambooarch.inventory.Findings;
+import org.bambooarch.inventory.Location;
+import org.bambooarch.inventory.internal.read.InventoryDraft;
+import org.bambooarch.inventory.internal.read.Located;
+
+/** Each ordered pair of regions has exactly one link, so that no traffic is without a cap. */
+final class LinkCheck implements Check {
+
+  @Override
+  public void run(InventoryDraft draft, Findings findings) {
+    Set<String> regions = new HashSet<>();
+    for (Located<Region> region : draft.regions()) {
+      regions.add(region.value().name());
+    }
+    UniqueValues directions = new UniqueValues("link direction", findings);
+    Set<String> present = new HashSet<>();
+    for (Located<Link> row : draft.links()) {
+      ends(row, regions, findings);
+      String direction = direction(row.value().fromRegion(), row.value().toRegion());
+      directions.add(direction, row.where());
+      present.add(direction);
+    }
+    missing(draft, present, findings);
+  }
+
+  private static void ends(Located<Link> row, Set<String> regions, Findings findings) {
+    String from = row.value().fromRegion();
+    String to = row.value().toRegion();
+    if (!from.isEmpty() && from.equals(to)) {
+      findings.add(linkToItself(row.where(), from));
+    }
+    for (String end : List.of(from, to)) {
+      if (!end.isEmpty() && !regions.contains(end)) {
+        findings.add(dangling(row.where(), "region", end));
+      }
+    }
+  }
+
+  private static void missing(InventoryDraft draft, Set<String> present, Findings findings) {
+    for (Located<Region> from : draft.regions()) {
+      for (Located<Region> to : draft.regions()) {
+        String fromName = from.value().name();
+        String toName = to.value().name();
+        if (fromName.equals(toName) || fromName.isEmpty() || toName.isEmpty()) {
+          continue;
+        }
+        if (!present.contains(direction(fromName, toName))) {
+          Location links = Location.root(from.where().file()).child("links");
+          findings.add(missingLink(links, fromName, toName));
+        }
+      }
+    }
+  }
+
+  private static String direction(String from, String to) {
+    return from + " -> " + to;
+  }
+}
--- /dev/null
+++ b/inventory/src/main/java/org/bambooarch/inventory/internal/check/RouteCheck.java
@@ -0,0 +1,62 @@
+package org.bambooarch.inventory.internal.check;
+
+import static org.bambooarch.inventory.error.NameErrors.notUsed;
+import static org.bambooarch.inventory.error.ValueErrors.notNormalPath;
+import static org.bambooarch.inventory.error.ValueErrors.notOneOf;
+
+import java.util.List;
+import java.util.regex.Pattern;
+import org.bambooarch.core.inventory.Route;
+import org.bambooarch.core.inventory.Service;
+import org.bambooarch.inventory.Findings;
+import org.bambooarch.inventory.Location;
+import org.bambooarch.inventory.internal.read.InventoryDraft;
+import org.bambooarch.inventory.internal.read.Located;
+
+/** Routes have known methods and normal paths, and no two match the same requests. */
+final class RouteCheck implements Check {
+
+  private static final List<String> METHODS =
+      List.of("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS");
+  private static final Pattern NORMAL_PATH = Pattern.compile("(/[A-Za-z0-9._~!$&'()*+,;=:@-]+)+");
+  private static final Pattern DOT_SEGMENT = Pattern.compile(".*/\\.\\.?(/.*)?");
+
+  @Override
+  public void run(InventoryDraft draft, Findings findings) {
+    UniqueValues matches = new UniqueValues("method and path over all services", findings);
+    for (Located<Service> service : draft.services()) {
+      Location where = service.where().child("routes");
+      List<Route> routes = service.value().routes();
+      if (routes.isEmpty()) {
+        findings.add(notUsed(where, "service", service.value().name(), "route"));
+      }
+      int index = 0;
+      for (Route route : routes) {
+        check(route, where.child(index), matches, findings);
+        index++;
+      }
+    }
+  }
+
+  private static void check(Route route, Location where, UniqueValues matches, Findings findings) {
+    String method = route.method();
+    if (!method.isEmpty() && !METHODS.contains(method)) {
+      findings.add(notOneOf(where.child("method"), METHODS, method));
+    }
+    String path = route.pathPrefix();
+    if (path.isEmpty()) {
+      return;
+    }
+    if (!isNormal(path)) {
+      findings.add(notNormalPath(where.child("pathPrefix"), path));
+    }
+    matches.add(method + " " + path, where.child("pathPrefix"));
+  }
+
+  private static boolean isNormal(String path) {
+    if (path.equals("/")) {
+      return true;
+    }
+    return NORMAL_PATH.matcher(path).matches() && !DOT_SEGMENT.matcher(path).matches();
+  }
+}
--- /dev/null
+++ b/inventory/src/main/java/org/bambooarch/inventory/internal/check/ServerCheck.java
@@ -0,0 +1,39 @@
+package org.bambooarch.inventory.internal.check;
+
+import static org.bambooarch.inventory.error.ValueErrors.fewerConnectionsThanSlots;
+import static org.bambooarch.inventory.error.ValueErrors.notIpNumber;
+
+import org.bambooarch.core.inventory.Server;
+import org.bambooarch.inventory.Findings;
+import org.bambooarch.inventory.Location;
+import org.bambooarch.inventory.internal.read.InventoryDraft;
+import org.bambooarch.inventory.internal.read.Located;
+
+/** Servers have an address of their own and can fill their slots. */
+final class ServerCheck implements Check {
+
+  @Override
+  public void run(InventoryDraft draft, Findings findings) {
+    UniqueValues addresses = new UniqueValues("server address", findings);
+    for (Located<Server> row : draft.servers()) {
+      check(row.value(), row.where(), addresses, findings);
+    }
+  }
+
+  private static void check(
+      Server server, Location where, UniqueValues addresses, Findings findings) {
+    if (server.connectionLimit() < server.slots()) {
+      findings.add(
+          fewerConnectionsThanSlots(
+              where.child("connectionLimit"), server.slots(), server.connectionLimit()));
+    }
+    if (server.host().isEmpty()) {
+      return;
+    }
+    if (IpNumbers.parse(server.host()).isEmpty()) {
+      findings.add(notIpNumber(where.child("host"), server.host()));
+      return;
+    }
+    addresses.add(server.host() + " port " + server.port(), where);
+  }
+}
--- /dev/null
+++ b/inventory/src/main/java/org/bambooarch/inventory/internal/check/UniqueValues.java
@@ -0,0 +1,32 @@
+package org.bambooarch.inventory.internal.check;
+
+import static org.bambooarch.inventory.error.NameErrors.duplicate;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.bambooarch.inventory.Findings;
+import org.bambooarch.inventory.Location;
+
+/** Reports values that appear more than once in one namespace. */
+final class UniqueValues {
+
+  private final String kind;
+  private final Findings findings;
+  private final Map<String, Location> firstPlaces = new HashMap<>();
+
+  UniqueValues(String kind, Findings findings) {
+    this.kind = kind;
+    this.findings = findings;
+  }
+
+  /** Adds a value; an empty one stands for a fault that was reported before. */
+  void add(String value, Location where) {
+    if (value.isEmpty()) {
+      return;
+    }
+    Location first = firstPlaces.putIfAbsent(value, where);
+    if (first != null) {
+      findings.add(duplicate(where, kind, value, first));
+    }
+  }
+}
--- /dev/null
+++ b/inventory/src/main/java/org/bambooarch/inventory/internal/read/ClientBlocksReader.java
@@ -0,0 +1,21 @@
+package org.bambooarch.inventory.internal.read;
+
+import org.bambooarch.core.inventory.ClientBlock;
+
+/** Reads the address blocks of callers. */
+final class ClientBlocksReader {
+
+  private ClientBlocksReader() {}
+
+  static void read(FieldReader file, InventoryDraft draft) {
+    for (FieldReader reader : file.objects("clientBlocks")) {
+      ClientBlock block = new ClientBlock(reader.text("cidr"), reader.text("dataCentre"));
+      draft.clientBlocks().add(new Located<>(block, reader.where()));
+      String outer = reader.textOrEmpty("exceptionTo");
+      if (!outer.isEmpty()) {
+        draft.outerBlocks().put(reader.where(), outer);
+      }
+      reader.finish();
+    }
+  }
+}
--- /dev/null
+++ b/inventory/src/main/java/org/bambooarch/inventory/internal/read/DirectoryReader.java
@@ -0,0 +1,91 @@
+package org.bambooarch.inventory.internal.read;
+
+import static org.bambooarch.inventory.error.FileErrors.missingFile;
+import static org.bambooarch.inventory.error.FileErrors.notDirectory;
+import static org.bambooarch.inventory.error.FileErrors.unknownFile;
+import static org.bambooarch.inventory.error.FileErrors.unreadable;
+
+import java.io.IOException;
+import java.nio.file.DirectoryStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.bambooarch.inventory.Findings;
+import org.bambooarch.inventory.Location;
+
+/** Reads the files of an inventory directory. */
+public final class DirectoryReader {
+
+  private final InventoryDraft draft = new InventoryDraft();
+  private final Findings findings;
+  private final Map<String, FileRule> rules = new LinkedHashMap<>();
+
+  private DirectoryReader(Findings findings) {
+    this.findings = findings;
+    rules.put("places.json", file -> PlacesReader.read(file, draft, findings));
+    rules.put("services.json", file -> ServicesReader.read(file, draft));
+    rules.put("servers.json", file -> ServersReader.read(file, draft));
+    rules.put("customers.json", file -> CustomersReader.read(file, draft));
+    rules.put("client-blocks.json", file -> ClientBlocksReader.read(file, draft));
+    rules.put("rules.json", file -> RulesReader.read(file, draft));
+  }
+
+  /** Reads all files and adds what is wrong with their shape to the findings. */
+  public static InventoryDraft read(Path directory, Findings findings) {
+    if (!Files.isDirectory(directory)) {
+      findings.add(notDirectory(Location.root(directory.toString())));
+      return new InventoryDraft();
+    }
+    DirectoryReader reader = new DirectoryReader(findings);
+    reader.rules.forEach((name, rule) -> reader.readFile(directory.resolve(name), name, rule));
+    reader.reportUnknownFiles(directory);
+    return reader.draft;
+  }
+
+  private void readFile(Path path, String name, FileRule rule) {
+    Location where = Location.root(name);
+    if (!Files.exists(path)) {
+      findings.add(missingFile(where));
+      return;
+    }
+    try {
+      JsonText.parse(Files.readString(path), where, findings)
+          .ifPresent(
+              file -> {
+                rule.read(file);
+                file.finish();
+              });
+    } catch (IOException e) {
+      findings.add(unreadable(where, e));
+    }
+  }
+
+  /** A misspelt file name would otherwise leave its content out without a word. */
+  private void reportUnknownFiles(Path directory) {
+    List<String> unknown = new ArrayList<>();
+    try (DirectoryStream<Path> files = Files.newDirectoryStream(directory, "*.json")) {
+      for (Path file : files) {
+        String name = String.valueOf(file.getFileName());
+        if (!rules.containsKey(name)) {
+          unknown.add(name);
+        }
+      }
+    } catch (IOException e) {
+      findings.add(unreadable(Location.root(directory.toString()), e));
+    }
+    Collections.sort(unknown);
+    for (String name : unknown) {
+      findings.add(unknownFile(Location.root(name), rules.keySet()));
+    }
+  }
+
+  /** Reads the fields of one file into the draft. */
+  @FunctionalInterface
+  private interface FileRule {
+    void read(FieldReader file);
+  }
+}
--- /dev/null
+++ b/inventory/src/main/java/org/bambooarch/inventory/internal/read/FieldReader.java
@@ -0,0 +1,193 @@
+package org.bambooarch.inventory.internal.read;
+
+import static org.bambooarch.inventory.error.ShapeErrors.missingField;
+import static org.bambooarch.inventory.error.ShapeErrors.unknownField;
+import static org.bambooarch.inventory.error.ShapeErrors.wrongType;
+import static org.bambooarch.inventory.error.ValueErrors.notOneOf;
+import static org.bambooarch.inventory.error.ValueErrors.outOfRange;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Set;
+import org.bambooarch.inventory.Findings;
+import org.bambooarch.inventory.Location;
+
+/**
+ * Reads the fields of one JSON object and reports what is wrong with them.
+ *
+ * <p>A field that cannot be read yields an empty text, false, or the least value of its range, so
+ * that reading goes on and later checks do not report the same fault again.
+ */
+final class FieldReader {
+
+  private final JsonNode node;
+  private final Location where;
+  private final Findings findings;
+  private final Set<String> knownFields = new HashSet<>();
+
+  private FieldReader(JsonNode node, Location where, Findings findings) {
+    this.node = node;
+    this.where = where;
+    this.findings = findings;
+  }
+
+  /** Returns a reader; a node that is no object is a finding and reads as having no fields. */
+  static FieldReader of(JsonNode node, Location where, Findings findings) {
+    if (!node.isObject()) {
+      findings.add(wrongType(where, "an object", node));
+    }
+    return new FieldReader(node, where, findings);
+  }
+
+  Location where() {
+    return where;
+  }
+
+  Location where(String field) {
+    return where.child(field);
+  }
+
+  boolean has(String field) {
+    return node.has(field);
+  }
+
+  String text(String field) {
+    JsonNode value = required(field);
+    if (value == null) {
+      return "";
+    }
+    if (!value.isTextual()) {
+      findings.add(wrongType(where(field), "a string", value));
+      return "";
+    }
+    return value.textValue();
+  }
+
+  String textOrEmpty(String field) {
+    knownFields.add(field);
+    return has(field) ? text(field) : "";
+  }
+
+  boolean bool(String field) {
+    JsonNode value = required(field);
+    if (value == null) {
+      return false;
+    }
+    if (!value.isBoolean()) {
+      findings.add(wrongType(where(field), "true or false", value));
+      return false;
+    }
+    return value.booleanValue();
+  }
+
+  boolean boolOrFalse(String field) {
+    knownFields.add(field);
+    return has(field) && bool(field);
+  }
+
+  long whole(String field, long least, long most) {
+    JsonNode value = required(field);
+    if (value == null) {
+      return least;
+    }
+    if (!value.isIntegralNumber()) {
+      findings.add(wrongType(where(field), "a whole number", value));
+      return least;
+    }
+    if (!value.canConvertToLong() || value.longValue() < least || value.longValue() > most) {
+      findings.add(outOfRange(where(field), least, most, value.asText()));
+      return least;
+    }
+    return value.longValue();
+  }
+
+  double number(String field, double least, double most) {
+    JsonNode value = required(field);
+    if (value == null) {
+      return least;
+    }
+    if (!value.isNumber()) {
+      findings.add(wrongType(where(field), "a number", value));
+      return least;
+    }
+    double number = value.doubleValue();
+    if (number < least || number > most) {
+      findings.add(outOfRange(where(field), least, most, value.asText()));
+      return least;
+    }
+    return number;
+  }
+
+  <E extends Enum<E>> E constant(String field, Class<E> type) {
+    List<E> constants = List.of(type.getEnumConstants());
+    String text = text(field);
+    for (E constant : constants) {
+      if (constant.name().equals(text)) {
+        return constant;
+      }
+    }
+    if (!text.isEmpty()) {
+      findings.add(notOneOf(where(field), constants, text));
+    }
+    return constants.getFirst();
+  }
+
+  /** Returns the objects of an array field. */
+  List<FieldReader> objects(String field) {
+    List<FieldReader> readers = new ArrayList<>();
+    for (JsonNode element : array(field)) {
+      readers.add(of(element, where(field).child(readers.size()), findings));
+    }
+    return readers;
+  }
+
+  /** Returns the strings of an array field. */
+  List<String> texts(String field) {
+    List<String> texts = new ArrayList<>();
+    int index = 0;
+    for (JsonNode element : array(field)) {
+      if (element.isTextual()) {
+        texts.add(element.textValue());
+      } else {
+        findings.add(wrongType(where(field).child(index), "a string", element));
+      }
+      index++;
+    }
+    return texts;
+  }
+
+  /** Reports the fields that nobody asked for. */
+  void finish() {
+    Iterator<String> names = node.fieldNames();
+    while (names.hasNext()) {
+      String name = names.next();
+      if (!knownFields.contains(name)) {
+        findings.add(unknownField(where(name), name, knownFields));
+      }
+    }
+  }
+
+  private Iterable<JsonNode> array(String field) {
+    JsonNode value = required(field);
+    if (value == null) {
+      return List.of();
+    }
+    if (!value.isArray()) {
+      findings.add(wrongType(where(field), "an array", value));
+      return List.of();
+    }
+    return value;
+  }
+
+  private JsonNode required(String field) {
+    knownFields.add(field);
+    JsonNode value = node.get(field);
+    if (value == null && node.isObject()) {
+      findings.add(missingField(where, field));
+    }
+    return value;
+  }
+}
--- /dev/null
+++ b/inventory/src/main/java/org/bambooarch/inventory/internal/read/JsonText.java
@@ -0,0 +1,36 @@
+package org.bambooarch.inventory.internal.read;
+
+import static org.bambooarch.inventory.error.ShapeErrors.malformed;
+
+import com.fasterxml.jackson.core.JsonLocation;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.util.Optional;
+import org.bambooarch.inventory.Findings;
+import org.bambooarch.inventory.Location;
+
+/** Parses JSON text strictly: repeated fields and trailing text are findings. */
+final class JsonText {
+
+  private static final JsonMapper MAPPER =
+      JsonMapper.builder()
+          .enable(DeserializationFeature.FAIL_ON_READING_DUP_TREE_KEY)
+          .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+          .build();
+
+  private JsonText() {}
+
+  /** Returns the fields of the top object, or nothing if the text cannot be parsed. */
+  static Optional<FieldReader> parse(String json, Location where, Findings findings) {
+    try {
+      JsonNode node = MAPPER.readTree(json);
+      return Optional.of(FieldReader.of(node, where, findings));
+    } catch (JsonProcessingException e) {
+      JsonLocation at = e.getLocation() == null ? JsonLocation.NA : e.getLocation();
+      findings.add(malformed(where, at.getLineNr(), at.getColumnNr(), e.getOriginalMessage()));
+      return Optional.empty();
+    }
+  }
+}
--- /dev/null
+++ b/inventory/src/main/java/org/bambooarch/inventory/internal/read/RulesReader.java
@@ -0,0 +1,17 @@
+package org.bambooarch.inventory.internal.read;
+
+import org.bambooarch.core.inventory.DrainRule;
+
+/** Reads the rules on top of the inventory. */
+final class RulesReader {
+
+  private RulesReader() {}
+
+  static void read(FieldReader file, InventoryDraft draft) {
+    for (FieldReader reader : file.objects("drains")) {
+      DrainRule.Kind kind = reader.constant("kind", DrainRule.Kind.class);
+      draft.drains().add(new Located<>(new DrainRule(kind, reader.text("name")), reader.where()));
+      reader.finish();
+    }
+  }
+}
