--- a/inventory/src/main/java/org/bambooarch/inventory/InvalidInventoryException.java
+++ b/inventory/src/main/java/org/bambooarch/inventory/InvalidInventoryException.java
@@ -16,6 +16,12 @@
     this.findings = List.copyOf(findings);
   }
 
+  /** Creates the exception for stored text that cannot be read at all. */
+  public InvalidInventoryException(String message, Throwable cause) {
+    super(message, cause);
+    this.findings = List.of(new Finding("stored configuration", "", message));
+  }
+
   /** Returns all findings in the order of the files. */
   public List<Finding> findings() {
     return findings;
