Show an instance's state, metrics and readiness on an operators' port

Cause: nothing told an operator what an instance does. Change: OperatorsServer with /health, /ready, /metrics and /dump on a port of its own; Prometheus metrics of requests by status and outcome, counted when an answer has ended; the platform's list carries the operators' port.

--- a/entry/src/main/java/org/bambooarch/entry/EntryInstance.java
+++ b/entry/src/main/java/org/bambooarch/entry/EntryInstance.java
@@ -10,6 +10,12 @@
 import org.bambooarch.entry.control.ControlLoop;
 import org.bambooarch.entry.control.FleetView;
 import org.bambooarch.entry.lookup.LookupService;
+import org.bambooarch.entry.operators.EntryMetrics;
+import org.bambooarch.entry.operators.MeteredService;
+import org.bambooarch.entry.operators.OperatorsServer;
+import org.bambooarch.entry.operators.Readiness;
+import org.bambooarch.entry.operators.StateDump;
+import org.bambooarch.entry.operators.StateSections;
 import org.bambooarch.entry.request.ForwardService;
 import org.bambooarch.platform.InstanceRecord;
 import org.bambooarch.platform.PlatformException;
@@ -33,7 +39,10 @@
   private final EntrySettings settings;
   private final HttpPlatform platform;
   private final ControlLoop control;
+  private final EntryMetrics metrics = new EntryMetrics();
   private final Server server;
+  private final OperatorsServer operators;
+  private volatile boolean stopping;
 
   private EntryInstance(EntrySettings settings, Clock clock) {
     this.settings = settings;
@@ -52,9 +61,35 @@
             .service(LookupService.PATH, new LookupService(control::view, settings.dataCentre()))
             .service(
                 "prefix:/",
-                new ForwardService(
-                    control::view, settings.dataCentre(), ThreadLocalRandom::current))
+                MeteredService.around(
+                    new ForwardService(
+                        control::view, settings.dataCentre(), ThreadLocalRandom::current),
+                    metrics))
             .build();
+    this.operators =
+        OperatorsServer.on(
+            settings.host(),
+            settings.operatorsPort(),
+            this::readiness,
+            new StateDump()
+                .add("settings", () -> settings)
+                .add("configuration", () -> StateSections.configuration(control.view().config()))
+                .add("instances", this::listedInstances)
+                .add("process", StateSections::process),
+            metrics);
+    metrics
+        .gauge(
+            "bambooarch_configuration_version",
+            "Version of the configuration in force.",
+            () -> control.view().config().version())
+        .gauge(
+            "bambooarch_instances_listed",
+            "Instances that the platform listed last.",
+            () -> control.view().instances().size())
+        .gauge(
+            "bambooarch_ready",
+            "Whether the instance takes new requests: 1 or 0.",
+            () -> readiness() instanceof Readiness.Ready ? 1 : 0);
   }
 
   /**
@@ -67,16 +102,18 @@
     try {
       instance.control.start();
       instance.server.start().join();
+      instance.operators.start();
       instance.platform.announce(instance.record(false));
     } catch (PlatformException e) {
       instance.close();
       throw e;
     }
     Logger.info(
-        "event=started instance={} dataCentre={} callersPort={}",
+        "event=started instance={} dataCentre={} callersPort={} operatorsPort={}",
         settings.name(),
         settings.dataCentre(),
-        instance.callersPort());
+        instance.callersPort(),
+        instance.operatorsPort());
     return instance;
   }
 
@@ -85,6 +122,11 @@
     return server.activeLocalPort();
   }
 
+  /** Returns the port for operators. */
+  public int operatorsPort() {
+    return operators.port();
+  }
+
   /** Returns what the instance knows of the fleet at this moment. */
   public FleetView view() {
     return control.view();
@@ -92,11 +134,23 @@
 
   @Override
   public void close() {
+    stopping = true;
     control.close();
     server.stop().join();
+    operators.close();
     Logger.info("event=stopped instance={}", settings.name());
   }
 
+  private Readiness readiness() {
+    if (stopping) {
+      return new Readiness.NotReady("the instance is stopping");
+    }
+    if (control.view().config().version() == 0) {
+      return new Readiness.NotReady("no configuration is in force yet; apply an inventory");
+    }
+    return new Readiness.Ready();
+  }
+
   private InstanceRecord record(boolean leaving) {
     return new InstanceRecord(
         settings.name(),
@@ -104,6 +158,7 @@
         settings.host(),
         callersPort(),
         settings.peersPort(),
+        operatorsPort(),
         leaving);
   }
 
--- /dev/null
+++ b/entry/src/main/java/org/bambooarch/entry/operators/StateSections.java
@@ -0,0 +1,87 @@
+package org.bambooarch.entry.operators;
+
+import java.lang.management.ManagementFactory;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.bambooarch.core.config.ConfigState;
+import org.bambooarch.core.config.IssuedKey;
+import org.bambooarch.core.inventory.DrainRule;
+import org.bambooarch.core.inventory.Inventory;
+
+/** The sections of a state dump that every process has. */
+public final class StateSections {
+
+  private static final long BYTES_PER_KIBIBYTE = 1024;
+
+  private StateSections() {}
+
+  /**
+   * Summary of the configuration in force.
+   *
+   * @param version version in force
+   * @param regions number of regions
+   * @param dataCentres number of data centres
+   * @param services number of services
+   * @param servers number of target servers
+   * @param customers number of customers
+   * @param clientBlocks number of client blocks
+   * @param drains drain rules in force
+   * @param validKeysByCustomer number of valid keys of each customer
+   * @param withdrawnKeys number of withdrawn keys
+   */
+  public record ConfigurationSection(
+      long version,
+      int regions,
+      int dataCentres,
+      int services,
+      int servers,
+      int customers,
+      int clientBlocks,
+      List<DrainRule> drains,
+      Map<String, Integer> validKeysByCustomer,
+      int withdrawnKeys) {}
+
+  /**
+   * Summary of the running process.
+   *
+   * @param uptimeMillis time since the start
+   * @param heapUsedKibibytes heap in use
+   * @param threads number of live threads
+   */
+  public record ProcessSection(long uptimeMillis, long heapUsedKibibytes, int threads) {}
+
+  /** Returns the summary of a configuration. */
+  public static ConfigurationSection configuration(ConfigState config) {
+    Map<String, Integer> validKeys = new TreeMap<>();
+    int withdrawn = 0;
+    for (IssuedKey key : config.keysByDigest().values()) {
+      if (key.withdrawn()) {
+        withdrawn++;
+      } else {
+        validKeys.merge(key.customer(), 1, Integer::sum);
+      }
+    }
+    Inventory inventory = config.inventory();
+    return new ConfigurationSection(
+        config.version(),
+        inventory.regions().size(),
+        inventory.dataCentres().size(),
+        inventory.services().size(),
+        inventory.servers().size(),
+        inventory.customers().size(),
+        inventory.clientBlocks().size(),
+        inventory.drains(),
+        validKeys,
+        withdrawn);
+  }
+
+  /** Returns the summary of this process. */
+  public static ProcessSection process() {
+    long heapBytes = ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed();
+    return new ProcessSection(
+        ManagementFactory.getRuntimeMXBean().getUptime(),
+        heapBytes / BYTES_PER_KIBIBYTE,
+        ManagementFactory.getThreadMXBean().getThreadCount());
+  }
+}
--- /dev/null
+++ b/entry/src/test/java/org/bambooarch/entry/operators/OperatorsServerTest.java
@@ -0,0 +1,60 @@
+package org.bambooarch.entry.operators;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.linecorp.armeria.client.WebClient;
+import com.linecorp.armeria.common.AggregatedHttpResponse;
+import org.bambooarch.core.config.ConfigChange;
+import org.bambooarch.core.config.ConfigState;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class OperatorsServerTest {
+
+  private static final String DIGEST = "0123456789abcdef";
+
+  private volatile Readiness readiness = new Readiness.Ready();
+  private OperatorsServer server;
+
+  @BeforeEach
+  void start() {
+    ConfigState config =
+        ConfigState.initial().apply(new ConfigChange.IssueKey(DIGEST, "vypin-cut-and-stitch"));
+    EntryMetrics metrics = new EntryMetrics().gauge("bambooarch_test_value", "A value.", () -> 7);
+    StateDump dump =
+        new StateDump().add("configuration", () -> StateSections.configuration(config));
+    server = OperatorsServer.on("127.0.0.1", 0, () -> readiness, dump, metrics);
+    server.start();
+  }
+
+  @AfterEach
+  void stop() {
+    server.close();
+  }
+
+  @Test
+  void should_state_the_reason_when_the_instance_is_not_ready() {
+    assertThat(get("/ready").status().code()).isEqualTo(200);
+    readiness = new Readiness.NotReady("the instance is stopping");
+    assertThat(get("/ready").status().code()).isEqualTo(503);
+    assertThat(get("/ready").contentUtf8()).contains("the instance is stopping");
+    assertThat(get("/health").status().code()).isEqualTo(200);
+  }
+
+  @Test
+  void should_count_keys_without_their_digests_when_dumped() {
+    assertThat(get("/dump").contentUtf8())
+        .contains("\"vypin-cut-and-stitch\" : 1")
+        .doesNotContain(DIGEST);
+  }
+
+  @Test
+  void should_hold_registered_values_when_metrics_are_read() {
+    assertThat(get("/metrics").contentUtf8()).contains("bambooarch_test_value 7.0");
+  }
+
+  private AggregatedHttpResponse get(String path) {
+    return WebClient.of("http://127.0.0.1:" + server.port()).get(path).aggregate().join();
+  }
+}
