--- /dev/null
+++ b/bench/src/main/java/org/bambooarch/bench/load/ClosedLoopLoad.java
@@ -0,0 +1,70 @@
+package org.bambooarch.bench.load;
+
+import com.linecorp.armeria.client.WebClient;
+import com.linecorp.armeria.common.AggregatedHttpResponse;
+import com.linecorp.armeria.common.RequestHeaders;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import org.HdrHistogram.ConcurrentHistogram;
+
+/** Sends a fixed number of requests with a fixed number in flight and records latencies. */
+final class ClosedLoopLoad {
+
+  private static final long NANOS_PER_MICRO = 1_000L;
+  private static final long MAX_LATENCY_MICROS = 60_000_000L;
+  private static final int SIGNIFICANT_DIGITS = 3;
+
+  private final WebClient client;
+  private final RequestHeaders headers;
+  private final int inFlight;
+  private final int requests;
+  private final AtomicInteger started = new AtomicInteger();
+  private final AtomicLong failed = new AtomicLong();
+  private final ConcurrentHistogram latencyMicros =
+      new ConcurrentHistogram(MAX_LATENCY_MICROS, SIGNIFICANT_DIGITS);
+
+  ClosedLoopLoad(WebClient client, RequestHeaders headers, int inFlight, int requests) {
+    this.client = client;
+    this.headers = headers;
+    this.inFlight = inFlight;
+    this.requests = requests;
+  }
+
+  /**
+   * What one run measured.
+   *
+   * @param requestsPerSecond throughput
+   * @param p50Micros median latency in microseconds
+   * @param p99Micros 99th percentile latency in microseconds
+   * @param failed requests with any answer but 200
+   */
+  record LoadResult(double requestsPerSecond, long p50Micros, long p99Micros, long failed) {}
+
+  LoadResult run() throws InterruptedException {
+    long startNanos = System.nanoTime();
+    Thread[] callers = new Thread[inFlight];
+    for (int i = 0; i < inFlight; i++) {
+      callers[i] = Thread.ofVirtual().start(this::sendUntilDone);
+    }
+    for (Thread caller : callers) {
+      caller.join();
+    }
+    double elapsedSeconds = (System.nanoTime() - startNanos) / 1e9;
+    return new LoadResult(
+        requests / elapsedSeconds,
+        latencyMicros.getValueAtPercentile(50),
+        latencyMicros.getValueAtPercentile(99),
+        failed.get());
+  }
+
+  private void sendUntilDone() {
+    while (started.getAndIncrement() < requests) {
+      long startNanos = System.nanoTime();
+      AggregatedHttpResponse response = client.execute(headers).aggregate().join();
+      latencyMicros.recordValue((System.nanoTime() - startNanos) / NANOS_PER_MICRO);
+      if (response.status().code() != 200) {
+        failed.incrementAndGet();
+      }
+    }
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/bambooarch/bench/load/PassThrough.java
@@ -0,0 +1,50 @@
+package org.bambooarch.bench.load;
+
+import com.linecorp.armeria.client.WebClient;
+import com.linecorp.armeria.common.HttpHeaderNames;
+import com.linecorp.armeria.server.Server;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** The baseline: a bare Armeria server that hands each request to the next target in turn. */
+final class PassThrough implements AutoCloseable {
+
+  private final Server server;
+
+  private PassThrough(Server server) {
+    this.server = server;
+  }
+
+  static PassThrough startOn(String host, List<Integer> targetPorts) {
+    List<WebClient> targets =
+        targetPorts.stream().map(port -> WebClient.of("h1c://" + host + ":" + port)).toList();
+    AtomicInteger next = new AtomicInteger();
+    Server server =
+        Server.builder()
+            .http(new InetSocketAddress(host, 0))
+            .service(
+                "prefix:/",
+                (context, request) ->
+                    targets
+                        .get(Math.floorMod(next.getAndIncrement(), targets.size()))
+                        .execute(
+                            request.mapHeaders(
+                                headers ->
+                                    headers.toBuilder()
+                                        .removeAndThen(HttpHeaderNames.AUTHORIZATION)
+                                        .build())))
+            .build();
+    server.start().join();
+    return new PassThrough(server);
+  }
+
+  int port() {
+    return server.activeLocalPort();
+  }
+
+  @Override
+  public void close() {
+    server.stop().join();
+  }
+}
