Stop an instance without cutting a request

Cause: closing the server cut running requests and left clients with look-up answers that name an instance that is gone. Change: a shutdown sequence (announce leaving, outlast look-up answers and the list's lag, refuse new requests as not run, finish the running ones, stop), a set of running requests, and a second signal that hurries it. Conclusion: the sequence is in place; a drain under load is still to be shown.

--- a/entry/src/main/java/org/bambooarch/entry/EntryInstance.java
+++ b/entry/src/main/java/org/bambooarch/entry/EntryInstance.java
@@ -11,6 +11,8 @@
 import org.bambooarch.entry.control.FleetView;
 import org.bambooarch.entry.lookup.LookupService;
 import org.bambooarch.entry.request.ForwardService;
+import org.bambooarch.entry.shutdown.GracefulShutdown;
+import org.bambooarch.entry.shutdown.InFlightRequests;
 import org.bambooarch.platform.InstanceRecord;
 import org.bambooarch.platform.PlatformException;
 import org.bambooarch.platform.http.HttpPlatform;
@@ -28,15 +30,21 @@
 public final class EntryInstance implements AutoCloseable {
 
   private static final int MAX_HEADER_BYTES = 32 * 1024;
+  private static final long LIST_LAG_MILLIS = 5_000;
   private static final int MAX_HTTP1_LINE_BYTES = 8 * 1024;
 
   private final EntrySettings settings;
+  private final Clock clock;
   private final HttpPlatform platform;
   private final ControlLoop control;
+  private final InFlightRequests inFlight = new InFlightRequests();
+  private final GracefulShutdown shutdown;
   private final Server server;
 
   private EntryInstance(EntrySettings settings, Clock clock) {
     this.settings = settings;
+    this.clock = clock;
+    this.shutdown = GracefulShutdown.of(new ShutdownSteps(), clock);
     this.platform =
         HttpPlatform.at(
             settings.platformUri(), Duration.ofMillis(settings.platformTimeoutMillis()));
@@ -54,6 +62,7 @@
                 "prefix:/",
                 new ForwardService(
                     control::view, settings.dataCentre(), ThreadLocalRandom::current))
+            .decorator(inFlight.countingDecorator())
             .build();
   }
 
@@ -90,13 +99,61 @@
     return control.view();
   }
 
+  /**
+   * Stops without cutting a request: announces leaving, outlasts look-up answers, finishes.
+   *
+   * @param bound after this time whatever still runs is ended
+   */
+  public void stopGracefully(Duration bound) {
+    shutdown.run(clock.monotonicNanos() + bound.toNanos());
+  }
+
+  /** Ends the waiting of {@link #stopGracefully(Duration)}, as a second signal does. */
+  public void stopNow() {
+    shutdown.stopNow();
+  }
+
+  /** Stops at once; requests that run are cut. */
   @Override
   public void close() {
+    inFlight.cancelAll();
     control.close();
     server.stop().join();
     Logger.info("event=stopped instance={}", settings.name());
   }
 
+  private final class ShutdownSteps implements GracefulShutdown.Steps {
+
+    @Override
+    public void announceLeaving() {
+      Thread.startVirtualThread(EntryInstance.this::tellPlatformThatLeaving);
+    }
+
+    @Override
+    public long lookupsValidMillis() {
+      return LookupService.TIME_TO_LIVE_MILLIS + LIST_LAG_MILLIS;
+    }
+
+    @Override
+    public void finishRequests(long deadlineNanos) {
+      boolean finished = inFlight.finish(deadlineNanos, clock);
+      Logger.info("event=requests-finished all={} cut={}", finished, inFlight.count());
+    }
+
+    @Override
+    public void stop() {
+      close();
+    }
+  }
+
+  private void tellPlatformThatLeaving() {
+    try {
+      platform.announce(record(true));
+    } catch (PlatformException e) {
+      Logger.warn("event=leaving-not-announced reason=\"{}\"", e.getMessage());
+    }
+  }
+
   private InstanceRecord record(boolean leaving) {
     return new InstanceRecord(
         settings.name(),
--- a/entry/src/main/java/org/bambooarch/entry/lookup/LookupService.java
+++ b/entry/src/main/java/org/bambooarch/entry/lookup/LookupService.java
@@ -21,7 +21,9 @@
   /** Path of look-ups on the callers' port. */
   public static final String PATH = "/.bambooarch/lookup";
 
-  private static final long TIME_TO_LIVE_MILLIS = 5_000;
+  /** How long a client may cache an answer. */
+  public static final long TIME_TO_LIVE_MILLIS = 5_000;
+
   private static final ObjectMapper MAPPER = new ObjectMapper();
 
   private final Supplier<FleetView> views;
--- /dev/null
+++ b/entry/src/test/java/org/bambooarch/entry/shutdown/GracefulShutdownTest.java
@@ -0,0 +1,60 @@
+package org.bambooarch.entry.shutdown;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.bambooarch.core.time.ManualClock;
+import org.junit.jupiter.api.Test;
+
+class GracefulShutdownTest {
+
+  private final ManualClock clock = ManualClock.startingAtZero();
+  private final List<String> steps = new ArrayList<>();
+
+  private GracefulShutdown shutdown(long lookupsValidMillis) {
+    return GracefulShutdown.of(
+        new GracefulShutdown.Steps() {
+          @Override
+          public void announceLeaving() {
+            steps.add("announce");
+          }
+
+          @Override
+          public long lookupsValidMillis() {
+            steps.add("wait");
+            return lookupsValidMillis;
+          }
+
+          @Override
+          public void finishRequests(long deadlineNanos) {
+            steps.add("finish until " + deadlineNanos);
+          }
+
+          @Override
+          public void stop() {
+            steps.add("stop");
+          }
+        },
+        clock);
+  }
+
+  @Test
+  void should_finish_requests_after_look_ups_expired_and_stop_last() {
+    // when
+    shutdown(0).run(1_000);
+    // then
+    assertThat(steps).containsExactly("announce", "wait", "finish until 1000", "stop");
+  }
+
+  @Test
+  void should_stop_without_finishing_when_a_second_signal_arrives() {
+    // given
+    GracefulShutdown shutdown = shutdown(Long.MAX_VALUE / 10_000_000L);
+    shutdown.stopNow();
+    // when
+    shutdown.run(Long.MAX_VALUE);
+    // then
+    assertThat(steps).containsExactly("announce", "wait", "stop");
+  }
+}
