--- a/entry/src/main/java/org/bambooarch/entry/EntryInstance.java
+++ b/entry/src/main/java/org/bambooarch/entry/EntryInstance.java
@@ -11,12 +11,13 @@
 import org.bambooarch.entry.control.FleetView;
 import org.bambooarch.entry.lookup.LookupService;
 import org.bambooarch.entry.operators.EntryMetrics;
+import org.bambooarch.entry.operators.InstancePages;
 import org.bambooarch.entry.operators.MeteredService;
 import org.bambooarch.entry.operators.OperatorsServer;
 import org.bambooarch.entry.operators.Readiness;
-import org.bambooarch.entry.operators.StateDump;
-import org.bambooarch.entry.operators.StateSections;
 import org.bambooarch.entry.request.ForwardService;
+import org.bambooarch.entry.shutdown.GracefulShutdown;
+import org.bambooarch.entry.shutdown.InFlightRequests;
 import org.bambooarch.platform.InstanceRecord;
 import org.bambooarch.platform.PlatformException;
 import org.bambooarch.platform.http.HttpPlatform;
@@ -34,18 +35,24 @@
 public final class EntryInstance implements AutoCloseable {
 
   private static final int MAX_HEADER_BYTES = 32 * 1024;
+  private static final long LIST_LAG_MILLIS = 5_000;
   private static final int MAX_HTTP1_LINE_BYTES = 8 * 1024;
 
   private final EntrySettings settings;
+  private final Clock clock;
   private final HttpPlatform platform;
   private final ControlLoop control;
   private final EntryMetrics metrics = new EntryMetrics();
+  private final InFlightRequests inFlight = new InFlightRequests();
+  private final GracefulShutdown shutdown;
   private final Server server;
   private final OperatorsServer operators;
   private volatile boolean stopping;
 
   private EntryInstance(EntrySettings settings, Clock clock) {
     this.settings = settings;
+    this.clock = clock;
+    this.shutdown = GracefulShutdown.of(new ShutdownSteps(), clock);
     this.platform =
         HttpPlatform.at(
             settings.platformUri(), Duration.ofMillis(settings.platformTimeoutMillis()));
@@ -65,31 +72,10 @@
                     new ForwardService(
                         control::view, settings.dataCentre(), ThreadLocalRandom::current),
                     metrics))
+            .decorator(inFlight.countingDecorator())
             .build();
     this.operators =
-        OperatorsServer.on(
-            settings.host(),
-            settings.operatorsPort(),
-            this::readiness,
-            new StateDump()
-                .add("settings", () -> settings)
-                .add("configuration", () -> StateSections.configuration(control.view().config()))
-                .add("instances", this::listedInstances)
-                .add("process", StateSections::process),
-            metrics);
-    metrics
-        .gauge(
-            "bambooarch_configuration_version",
-            "Version of the configuration in force.",
-            () -> control.view().config().version())
-        .gauge(
-            "bambooarch_instances_listed",
-            "Instances that the platform listed last.",
-            () -> control.view().instances().size())
-        .gauge(
-            "bambooarch_ready",
-            "Whether the instance takes new requests: 1 or 0.",
-            () -> readiness() instanceof Readiness.Ready ? 1 : 0);
+        InstancePages.serverFor(settings, control::view, this::readiness, inFlight::count, metrics);
   }
 
   /**
@@ -132,9 +118,25 @@
     return control.view();
   }
 
+  /**
+   * Stops without cutting a request: announces leaving, outlasts look-up answers, finishes.
+   *
+   * @param bound after this time whatever still runs is ended
+   */
+  public void stopGracefully(Duration bound) {
+    shutdown.run(clock.monotonicNanos() + bound.toNanos());
+  }
+
+  /** Ends the waiting of {@link #stopGracefully(Duration)}, as a second signal does. */
+  public void stopNow() {
+    shutdown.stopNow();
+  }
+
+  /** Stops at once; requests that run are cut. */
   @Override
   public void close() {
     stopping = true;
+    inFlight.cancelAll();
     control.close();
     server.stop().join();
     operators.close();
@@ -151,6 +153,39 @@
     return new Readiness.Ready();
   }
 
+  private final class ShutdownSteps implements GracefulShutdown.Steps {
+
+    @Override
+    public void announceLeaving() {
+      stopping = true;
+      Thread.startVirtualThread(EntryInstance.this::tellPlatformThatLeaving);
+    }
+
+    @Override
+    public long lookupsValidMillis() {
+      return LookupService.TIME_TO_LIVE_MILLIS + LIST_LAG_MILLIS;
+    }
+
+    @Override
+    public void finishRequests(long deadlineNanos) {
+      boolean finished = inFlight.finish(deadlineNanos, clock);
+      Logger.info("event=requests-finished all={} cut={}", finished, inFlight.count());
+    }
+
+    @Override
+    public void stop() {
+      close();
+    }
+  }
+
+  private void tellPlatformThatLeaving() {
+    try {
+      platform.announce(record(true));
+    } catch (PlatformException e) {
+      Logger.warn("event=leaving-not-announced reason=\"{}\"", e.getMessage());
+    }
+  }
+
   private InstanceRecord record(boolean leaving) {
     return new InstanceRecord(
         settings.name(),
