Give operators a command line and a quickstart in one process

Cause: the system could only be started and changed from Java code. Change: bin/bambooarch with validate, plan, apply, status, key, drain, undrain, dump, call, entry, quickstart and the stand-ins; documented exit codes; a change whose answer was lost is proposed again with the same identifier, so that the truth is reported; first signal stops an instance gracefully.

--- /dev/null
+++ b/cli/src/main/java/org/bambooarch/cli/command/EntryCommand.java
@@ -0,0 +1,68 @@
+package org.bambooarch.cli.command;
+
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.concurrent.CompletionException;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import org.bambooarch.cli.Command;
+import org.bambooarch.cli.CommandErrors;
+import org.bambooarch.cli.CommandException;
+import org.bambooarch.cli.Console;
+import org.bambooarch.cli.ExitCode;
+import org.bambooarch.cli.config.SettingsFile;
+import org.bambooarch.entry.EntryInstance;
+import org.bambooarch.entry.EntrySettings;
+import org.bambooarch.platform.PlatformException;
+
+/** Runs an entry instance until a signal stops it. */
+final class EntryCommand implements Command {
+
+  private static final long DEFAULT_GRACE_MILLIS = 60_000;
+
+  @Override
+  public String name() {
+    return "entry";
+  }
+
+  @Override
+  public String arguments() {
+    return "--settings FILE";
+  }
+
+  @Override
+  public String summary() {
+    return "run an entry instance until a signal stops it";
+  }
+
+  @Override
+  public void declare(OptionParser options) {
+    options.accepts("settings", "JSON settings file").withRequiredArg().required();
+    options
+        .accepts("grace-millis", "time that a graceful shutdown may take")
+        .withRequiredArg()
+        .ofType(Long.class)
+        .defaultsTo(DEFAULT_GRACE_MILLIS);
+  }
+
+  @Override
+  public ExitCode run(OptionSet options, Console console) throws CommandException {
+    Arguments.exactly(0, "no arguments", options);
+    EntrySettings settings = SettingsFile.read(Path.of((String) options.valueOf("settings")));
+    EntryInstance instance = start(settings);
+    StopSignals signals = StopSignals.listen(instance::stopNow);
+    signals.await();
+    instance.stopGracefully(Duration.ofMillis((Long) options.valueOf("grace-millis")));
+    return ExitCode.DONE;
+  }
+
+  private static EntryInstance start(EntrySettings settings) throws CommandException {
+    try {
+      return EntryInstance.start(settings);
+    } catch (PlatformException e) {
+      throw CommandErrors.platformUnreachable(settings.platformUri(), e);
+    } catch (CompletionException e) {
+      throw CommandErrors.cannotListen("instance " + settings.name(), e);
+    }
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/org/bambooarch/cli/command/QuickstartCommand.java
@@ -0,0 +1,73 @@
+package org.bambooarch.cli.command;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.concurrent.CompletionException;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import org.bambooarch.cli.Command;
+import org.bambooarch.cli.CommandErrors;
+import org.bambooarch.cli.CommandException;
+import org.bambooarch.cli.Console;
+import org.bambooarch.cli.ExitCode;
+import org.bambooarch.cli.quickstart.LoopbackFleet;
+import org.bambooarch.cli.quickstart.Quickstart;
+import org.bambooarch.cli.quickstart.RunSummary;
+import org.bambooarch.core.inventory.Inventory;
+import org.bambooarch.inventory.InvalidInventoryException;
+import org.bambooarch.platform.PlatformException;
+
+/** Shows the whole path in one process on loopback ports. */
+final class QuickstartCommand implements Command {
+
+  private static final int DEFAULT_REQUESTS = 40;
+
+  @Override
+  public String name() {
+    return "quickstart";
+  }
+
+  @Override
+  public String arguments() {
+    return "[--stay]";
+  }
+
+  @Override
+  public String summary() {
+    return "start stand-ins and three instances in one process, apply an example, send requests";
+  }
+
+  @Override
+  public void declare(OptionParser options) {
+    options
+        .accepts("inventory", "inventory directory")
+        .withRequiredArg()
+        .defaultsTo("examples/swatchnet");
+    options
+        .accepts("requests", "requests of each customer")
+        .withRequiredArg()
+        .ofType(Integer.class)
+        .defaultsTo(DEFAULT_REQUESTS);
+    options.accepts("stay", "stay up until a signal and print curl lines");
+  }
+
+  @Override
+  public ExitCode run(OptionSet options, Console console) throws CommandException {
+    Arguments.exactly(0, "no arguments", options);
+    Inventory declared =
+        Arguments.inventory(Path.of((String) options.valueOf("inventory")), console);
+    try (LoopbackFleet fleet = LoopbackFleet.start(declared)) {
+      Quickstart quickstart = new Quickstart(fleet, console);
+      RunSummary summary = quickstart.run((Integer) options.valueOf("requests"));
+      if (options.has("stay")) {
+        quickstart.printCurlLines();
+        StopSignals.listen(() -> {}).await();
+      }
+      return summary.isAllAnswered() ? ExitCode.DONE : ExitCode.FAILED;
+    } catch (PlatformException | InvalidInventoryException | IOException e) {
+      throw new CommandException(ExitCode.FAILED, "the quickstart failed: " + e, e);
+    } catch (CompletionException e) {
+      throw CommandErrors.cannotListen("a part of the quickstart", e);
+    }
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/org/bambooarch/cli/command/StopSignals.java
@@ -0,0 +1,45 @@
+package org.bambooarch.cli.command;
+
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import sun.misc.Signal;
+
+/**
+ * Turns the signals that end a process into calls.
+ *
+ * <p>The first signal releases the waiting thread, which stops gracefully; a further one calls back
+ * at once, so that the waiting can be cut short.
+ */
+final class StopSignals {
+
+  private static final List<String> NAMES = List.of("TERM", "INT");
+
+  private final CountDownLatch first = new CountDownLatch(1);
+
+  private StopSignals() {}
+
+  /** Starts to listen to signals; the call-back runs on every signal after the first. */
+  static StopSignals listen(Runnable onFurtherSignal) {
+    StopSignals signals = new StopSignals();
+    for (String name : NAMES) {
+      Signal.handle(new Signal(name), signal -> signals.arrived(onFurtherSignal));
+    }
+    return signals;
+  }
+
+  /** Waits for the first signal. */
+  void await() {
+    try {
+      first.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private synchronized void arrived(Runnable onFurtherSignal) {
+    if (first.getCount() == 0) {
+      onFurtherSignal.run();
+    }
+    first.countDown();
+  }
+}
--- a/cli/src/main/java/org/bambooarch/cli/config/ChangeProposer.java
+++ b/cli/src/main/java/org/bambooarch/cli/config/ChangeProposer.java
@@ -3,7 +3,7 @@
 import org.bambooarch.core.config.ConfigChange;
 import org.bambooarch.inventory.InvalidInventoryException;
 import org.bambooarch.platform.NotAppliedException;
-import org.bambooarch.platform.UnknownOutcomeException;
+import org.bambooarch.platform.PlatformException;
 import org.bambooarch.platform.config.ConfigRepository;
 import org.bambooarch.platform.config.ConfigRepository.Head;
 import org.bambooarch.platform.config.ConfigRepository.ProposeResult;
@@ -37,10 +37,9 @@
       try {
         ProposeResult result = repository.propose(expectedVersion, changeId, author, change);
         return outcome(result, expectedVersion, changeId, answerLost);
-      } catch (UnknownOutcomeException e) {
-        lastReason = e.getMessage();
-      } catch (NotAppliedException e) {
-        if (!answerLost) {
+      } catch (PlatformException e) {
+        boolean nothingSent = e instanceof NotAppliedException && !answerLost;
+        if (nothingSent) {
           return new ProposalOutcome.NotApplied(e.getMessage());
         }
         lastReason = e.getMessage();
--- a/cli/src/main/java/org/bambooarch/cli/config/ConfigSession.java
+++ b/cli/src/main/java/org/bambooarch/cli/config/ConfigSession.java
@@ -14,6 +14,14 @@
 /** Reads and changes the configuration for one run of a command. */
 public final class ConfigSession {
 
+  private static final int CONFLICT_ATTEMPTS = 5;
+  private static final String CONFLICT_MESSAGE =
+      "conflict: expected version %d, but version %d is accepted (change %s by %s);"
+          + " nothing was changed; run plan again";
+  private static final String UNKNOWN_MESSAGE =
+      "it is not known whether change %s was accepted (%s);"
+          + " run plan to see what is accepted before trying again";
+
   private final ConfigRepository repository;
   private final String uri;
 
@@ -54,6 +62,33 @@
     }
   }
 
+  /**
+   * Proposes a change that does not depend on what other operators change meanwhile.
+   *
+   * <p>A conflict is tried again on the newer version, where the change is made anew.
+   */
+  public ProposalOutcome.Accepted changeNewest(String author, ChangeOnNewest make)
+      throws CommandException {
+    for (int attempt = 1; ; attempt++) {
+      ConfigState newest = readNewest();
+      try {
+        return change(author, newest.version(), make.on(newest));
+      } catch (CommandException e) {
+        if (e.exitCode() != ExitCode.CONFLICT || attempt == CONFLICT_ATTEMPTS) {
+          throw e;
+        }
+      }
+    }
+  }
+
+  /** Makes a change that fits the newest configuration. */
+  @FunctionalInterface
+  public interface ChangeOnNewest {
+
+    /** Returns the change, or fails if it makes no sense on this configuration. */
+    ConfigChange on(ConfigState newest) throws CommandException;
+  }
+
   private ProposalOutcome.Accepted accepted(ProposalOutcome outcome, long expectedVersion)
       throws CommandException {
     return switch (outcome) {
@@ -61,12 +96,11 @@
       case ProposalOutcome.Conflict conflict ->
           throw new CommandException(
               ExitCode.CONFLICT,
-              "conflict: expected version %d, but version %d is in force (change %s by %s); nothing was changed; run plan again"
-                  .formatted(
-                      expectedVersion,
-                      conflict.other().version(),
-                      conflict.other().changeId(),
-                      conflict.other().author()));
+              CONFLICT_MESSAGE.formatted(
+                  expectedVersion,
+                  conflict.other().version(),
+                  conflict.other().changeId(),
+                  conflict.other().author()));
       case ProposalOutcome.NotApplied notApplied ->
           throw new CommandException(
               ExitCode.UNREACHABLE,
@@ -74,9 +108,7 @@
                   .formatted(uri, notApplied.reason()));
       case ProposalOutcome.Unknown unknown ->
           throw new CommandException(
-              ExitCode.UNKNOWN,
-              "it is not known whether change %s was accepted (%s); run plan to see what is in force before trying again"
-                  .formatted(unknown.changeId(), unknown.reason()));
+              ExitCode.UNKNOWN, UNKNOWN_MESSAGE.formatted(unknown.changeId(), unknown.reason()));
     };
   }
 }
--- /dev/null
+++ b/cli/src/main/java/org/bambooarch/cli/http/Instances.java
@@ -0,0 +1,37 @@
+package org.bambooarch.cli.http;
+
+import java.util.List;
+import joptsimple.OptionSet;
+import org.bambooarch.cli.CommandErrors;
+import org.bambooarch.cli.CommandException;
+import org.bambooarch.cli.ExitCode;
+import org.bambooarch.cli.config.PlatformOptions;
+import org.bambooarch.platform.InstanceRecord;
+import org.bambooarch.platform.PlatformException;
+
+/** Finds instances in the platform's list. */
+public final class Instances {
+
+  private Instances() {}
+
+  /** Returns the whole list. */
+  public static List<InstanceRecord> all(OptionSet options) throws CommandException {
+    try {
+      return PlatformOptions.platform(options).current();
+    } catch (PlatformException e) {
+      throw CommandErrors.platformUnreachable(PlatformOptions.uri(options), e);
+    }
+  }
+
+  /** Returns the instance of a name. */
+  public static InstanceRecord named(String name, OptionSet options) throws CommandException {
+    for (InstanceRecord instance : all(options)) {
+      if (instance.name().equals(name)) {
+        return instance;
+      }
+    }
+    throw new CommandException(
+        ExitCode.USAGE,
+        "no instance \"" + name + "\" in the platform's list; status prints all instances");
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/org/bambooarch/cli/quickstart/Quickstart.java
@@ -0,0 +1,167 @@
+package org.bambooarch.cli.quickstart;
+
+import com.linecorp.armeria.client.WebClient;
+import com.linecorp.armeria.common.AggregatedHttpResponse;
+import com.linecorp.armeria.common.HttpMethod;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import org.bambooarch.cli.Console;
+import org.bambooarch.cli.http.CallersClient;
+import org.bambooarch.cli.http.CallersClient.Call;
+import org.bambooarch.core.config.ConfigChange;
+import org.bambooarch.core.inventory.Customer;
+import org.bambooarch.core.inventory.Route;
+import org.bambooarch.entry.EntryInstance;
+import org.bambooarch.entry.lookup.LookupService;
+import org.bambooarch.entry.lookup.LookupService.LookupInstance;
+import org.bambooarch.entry.request.KeyDigests;
+import org.bambooarch.inventory.InvalidInventoryException;
+
+/** Walks through look-ups, requests and the withdrawal of a key, and prints what happened. */
+public final class Quickstart {
+
+  private static final long WAIT_STEP_MILLIS = 50;
+  private static final long WAIT_LIMIT_MILLIS = 15_000;
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+  private static final int KEY_REJECTED_STATUS = 401;
+
+  private final LoopbackFleet fleet;
+  private final Console console;
+
+  /** Creates a walk through a running fleet. */
+  public Quickstart(LoopbackFleet fleet, Console console) {
+    this.fleet = fleet;
+    this.console = console;
+  }
+
+  /** Runs all steps with the given number of requests of each customer. */
+  public RunSummary run(int requestsPerCustomer) throws IOException, InvalidInventoryException {
+    console.line("stand-in platform  %s", fleet.platformUri());
+    console.line("stand-in targets   %d", fleet.targets().count());
+    for (EntryInstance instance : fleet.instances()) {
+      console.line(
+          "entry instance     callers %s operators %s",
+          fleet.callersUri(instance), fleet.operatorsUri(instance));
+    }
+    awaitInForce();
+    console.line("version %d is in force on all instances", fleet.version());
+    lookup();
+    RunSummary summary = sendAll(requestsPerCustomer);
+    withdrawOneKey();
+    console.line("%s", summary.toText());
+    return summary;
+  }
+
+  /** Prints lines that can be tried while the fleet stays up. */
+  public void printCurlLines() {
+    EntryInstance instance = fleet.instances().getFirst();
+    String callers = fleet.callersUri(instance);
+    Customer customer = fleet.inventory().customers().getFirst();
+    String key = fleet.keysByCustomer().get(customer.name());
+    console.line("try:");
+    console.line("  curl '%s%s?client=10.20.1.9'", callers, LookupService.PATH);
+    for (Route route : fleet.inventory().services().getFirst().routes()) {
+      console.line(
+          "  curl -X %s -H 'Authorization: Bearer %s' '%s%s/1'",
+          route.method(), key, callers, route.pathPrefix());
+    }
+    String operators = fleet.operatorsUri(instance);
+    console.line(
+        "  curl '%s/ready'; curl '%s/dump'; curl '%s/metrics'", operators, operators, operators);
+    console.line("  bin/bambooarch status --platform %s", fleet.platformUri());
+    console.line("staying up; stop with Ctrl-C");
+  }
+
+  private void awaitInForce() throws IOException {
+    await(
+        "the version is in force and all instances are listed",
+        () ->
+            fleet.instances().stream()
+                .allMatch(
+                    instance ->
+                        instance.view().config().version() >= fleet.version()
+                            && instance.listedInstances().size() == fleet.instances().size()));
+  }
+
+  private void lookup() throws IOException {
+    String entry = fleet.callersUri(fleet.instances().getFirst());
+    long startedNanos = System.nanoTime();
+    List<LookupInstance> answer = CallersClient.lookup(entry, "10.20.1.9");
+    long millis = (System.nanoTime() - startedNanos) / NANOS_PER_MILLI;
+    console.line(
+        "look-up for 10.20.1.9 answered in %d ms: %s",
+        millis, answer.stream().map(LookupInstance::name).toList());
+  }
+
+  private RunSummary sendAll(int requestsPerCustomer) throws IOException {
+    RunSummary summary = new RunSummary();
+    List<Customer> customers = fleet.inventory().customers();
+    try (ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor()) {
+      for (int i = 0; i < customers.size(); i++) {
+        EntryInstance instance = fleet.instances().get(i % fleet.instances().size());
+        Customer customer = customers.get(i);
+        threads.execute(
+            new CustomerLoad(
+                customer,
+                fleet.keysByCustomer().get(customer.name()),
+                fleet.inventory(),
+                CallersClient.client(fleet.callersUri(instance)),
+                requestsPerCustomer,
+                summary));
+      }
+    }
+    return summary;
+  }
+
+  private void withdrawOneKey() throws IOException, InvalidInventoryException {
+    String customer = fleet.inventory().customers().getLast().name();
+    String key = fleet.keysByCustomer().get(customer);
+    String path = firstKeyedPath();
+    WebClient client = CallersClient.client(fleet.callersUri(fleet.instances().getFirst()));
+    long startedNanos = System.nanoTime();
+    fleet.change(new ConfigChange.WithdrawKey(KeyDigests.digestOf(key)));
+    Call call = new Call(HttpMethod.GET, path, key, "", "");
+    await("the withdrawn key is refused", () -> statusOf(client, call) == KEY_REJECTED_STATUS);
+    console.line(
+        "key of %s withdrawn; refused on an open connection after %d ms",
+        customer, (System.nanoTime() - startedNanos) / NANOS_PER_MILLI);
+  }
+
+  private static int statusOf(WebClient client, Call call) throws IOException {
+    AggregatedHttpResponse response = CallersClient.send(client, call);
+    return response.status().code();
+  }
+
+  private String firstKeyedPath() {
+    return fleet.inventory().services().stream()
+        .flatMap(service -> service.routes().stream())
+        .filter(route -> route.method().equals("GET") && !route.openToAll())
+        .map(Route::pathPrefix)
+        .findFirst()
+        .orElse("/");
+  }
+
+  private static void await(String what, Condition condition) throws IOException {
+    long deadlineNanos = System.nanoTime() + WAIT_LIMIT_MILLIS * NANOS_PER_MILLI;
+    while (!condition.isMet()) {
+      if (System.nanoTime() - deadlineNanos >= 0) {
+        throw new IOException("waited " + WAIT_LIMIT_MILLIS + " ms in vain until " + what);
+      }
+      try {
+        Thread.sleep(Duration.ofMillis(WAIT_STEP_MILLIS));
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        throw new IOException("interrupted while waiting until " + what, e);
+      }
+    }
+  }
+
+  /** Something that becomes true. */
+  @FunctionalInterface
+  private interface Condition {
+    boolean isMet() throws IOException;
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/org/bambooarch/cli/quickstart/StandinTargets.java
@@ -0,0 +1,74 @@
+package org.bambooarch.cli.quickstart;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import org.bambooarch.core.inventory.Server;
+import org.bambooarch.standin.StandinTarget;
+
+/** Stand-ins of many target servers in one process. */
+public final class StandinTargets implements AutoCloseable {
+
+  private final List<StandinTarget> targets = new ArrayList<>();
+  private final List<Server> servers = new ArrayList<>();
+
+  private StandinTargets() {}
+
+  /** Starts a stand-in for each server on its declared port. */
+  public static StandinTargets startOnDeclaredPorts(List<Server> servers) {
+    StandinTargets targets = new StandinTargets();
+    for (Server server : servers) {
+      targets.start(server, server.port());
+    }
+    return targets;
+  }
+
+  /** Starts a stand-in for each server on any free port. */
+  public static StandinTargets startOnFreePorts(List<Server> servers) {
+    StandinTargets targets = new StandinTargets();
+    for (Server server : servers) {
+      targets.start(server, 0);
+    }
+    return targets;
+  }
+
+  /** Returns the servers with the ports that are really used. */
+  public List<Server> servers() {
+    return List.copyOf(servers);
+  }
+
+  /** Returns how many stand-ins run. */
+  public int count() {
+    return targets.size();
+  }
+
+  /** Returns how many requests all stand-ins have seen. */
+  public long requests() {
+    return targets.stream().mapToLong(StandinTarget::requests).sum();
+  }
+
+  /** Stops all stand-ins at the same time, because each one takes seconds. */
+  @Override
+  public void close() {
+    try (ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor()) {
+      for (StandinTarget target : targets) {
+        threads.execute(target::close);
+      }
+    }
+  }
+
+  private void start(Server server, int port) {
+    StandinTarget target = StandinTarget.startOn(server.name(), server.host(), port);
+    targets.add(target);
+    servers.add(
+        new Server(
+            server.name(),
+            server.service(),
+            server.dataCentre(),
+            server.host(),
+            target.port(),
+            server.slots(),
+            server.connectionLimit()));
+  }
+}
