--- a/cli/src/main/java/org/bambooarch/cli/command/Arguments.java
+++ b/cli/src/main/java/org/bambooarch/cli/command/Arguments.java
@@ -6,6 +6,7 @@
 import org.bambooarch.cli.CommandErrors;
 import org.bambooarch.cli.CommandException;
 import org.bambooarch.cli.Console;
+import org.bambooarch.cli.config.SettingsFile;
 import org.bambooarch.core.inventory.Inventory;
 import org.bambooarch.inventory.Finding;
 import org.bambooarch.inventory.InvalidInventoryException;
@@ -14,6 +15,8 @@
 /** Reads what several commands take as arguments. */
 final class Arguments {
 
+  static final String SETTINGS = "settings";
+
   private Arguments() {}
 
   /** Returns the arguments without a leading dash, which must be as many as expected. */
@@ -37,10 +40,24 @@
     try {
       return InventoryDirectory.read(directory);
     } catch (InvalidInventoryException e) {
-      for (Finding finding : e.findings()) {
-        console.error(finding.toString());
-      }
-      throw CommandErrors.invalidInventory(e);
+      throw printed(e, console);
+    }
+  }
+
+  /** Reads the settings file that an option names and prints its findings. */
+  static <T extends Record> T settings(OptionSet options, Class<T> type, Console console)
+      throws CommandException {
+    try {
+      return SettingsFile.read(Path.of((String) options.valueOf(SETTINGS)), type);
+    } catch (InvalidInventoryException e) {
+      throw printed(e, console);
+    }
+  }
+
+  private static CommandException printed(InvalidInventoryException cause, Console console) {
+    for (Finding finding : cause.findings()) {
+      console.error(finding.toString());
     }
+    return CommandErrors.invalidInventory(cause);
   }
 }
--- a/cli/src/main/java/org/bambooarch/cli/command/EntryCommand.java
+++ b/cli/src/main/java/org/bambooarch/cli/command/EntryCommand.java
@@ -1,6 +1,5 @@
 package org.bambooarch.cli.command;
 
-import java.nio.file.Path;
 import java.time.Duration;
 import java.util.concurrent.CompletionException;
 import joptsimple.OptionParser;
@@ -10,7 +9,6 @@
 import org.bambooarch.cli.CommandException;
 import org.bambooarch.cli.Console;
 import org.bambooarch.cli.ExitCode;
-import org.bambooarch.cli.config.SettingsFile;
 import org.bambooarch.entry.EntryInstance;
 import org.bambooarch.entry.EntrySettings;
 import org.bambooarch.platform.PlatformException;
@@ -37,7 +35,7 @@
 
   @Override
   public void declare(OptionParser options) {
-    options.accepts("settings", "JSON settings file").withRequiredArg().required();
+    options.accepts(Arguments.SETTINGS, "JSON settings file").withRequiredArg().required();
     options
         .accepts("grace-millis", "time that a graceful shutdown may take")
         .withRequiredArg()
@@ -48,7 +46,7 @@
   @Override
   public ExitCode run(OptionSet options, Console console) throws CommandException {
     Arguments.exactly(0, "no arguments", options);
-    EntrySettings settings = SettingsFile.read(Path.of((String) options.valueOf("settings")));
+    EntrySettings settings = Arguments.settings(options, EntrySettings.class, console);
     EntryInstance instance = start(settings);
     StopSignals signals = StopSignals.listen(instance::stopNow);
     signals.await();
--- a/cli/src/main/java/org/bambooarch/cli/command/KeyCommand.java
+++ b/cli/src/main/java/org/bambooarch/cli/command/KeyCommand.java
@@ -84,7 +84,10 @@
   private static void list(OptionSet options, Console console) throws CommandException {
     List<IssuedKey> keys =
         ConfigSession.of(options).readNewest().keysByDigest().values().stream()
-            .sorted(Comparator.comparing(IssuedKey::customer).thenComparing(IssuedKey::digest))
+            .sorted(
+                Comparator.comparing(IssuedKey::customer)
+                    .thenComparing(IssuedKey::withdrawn)
+                    .thenComparing(IssuedKey::digest))
             .toList();
     for (IssuedKey key : keys) {
       String state = key.withdrawn() ? "withdrawn" : "valid";
--- a/cli/src/main/java/org/bambooarch/cli/config/SettingsFile.java
+++ b/cli/src/main/java/org/bambooarch/cli/config/SettingsFile.java
@@ -1,44 +1,128 @@
 package org.bambooarch.cli.config;
 
+import static org.bambooarch.inventory.error.ShapeErrors.malformed;
+import static org.bambooarch.inventory.error.ShapeErrors.missingField;
+import static org.bambooarch.inventory.error.ShapeErrors.unknownField;
+import static org.bambooarch.inventory.error.ShapeErrors.wrongType;
+
+import com.fasterxml.jackson.core.JsonLocation;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.MapperFeature;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import java.io.IOException;
+import java.lang.reflect.RecordComponent;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.Set;
 import org.bambooarch.cli.CommandException;
 import org.bambooarch.cli.ExitCode;
-import org.bambooarch.entry.EntrySettings;
+import org.bambooarch.inventory.Findings;
+import org.bambooarch.inventory.InvalidInventoryException;
+import org.bambooarch.inventory.Location;
 
-/** Reads the JSON settings of an entry instance; every field is required, no other is allowed. */
+/**
+ * Reads the JSON settings of a process into a record.
+ *
+ * <p>Every component of the record is a required field and no other field is allowed. All findings
+ * are reported together.
+ *
+ * <pre>{@code
+ * EntrySettings settings = SettingsFile.read(Path.of("entry-1.json"), EntrySettings.class);
+ * }</pre>
+ */
 public final class SettingsFile {
 
   private static final JsonMapper MAPPER =
       JsonMapper.builder()
-          .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
-          .enable(DeserializationFeature.FAIL_ON_MISSING_CREATOR_PROPERTIES)
-          .enable(DeserializationFeature.FAIL_ON_NULL_CREATOR_PROPERTIES)
-          .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
+          .enable(DeserializationFeature.FAIL_ON_READING_DUP_TREE_KEY)
           .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+          .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
+          .disable(DeserializationFeature.ACCEPT_FLOAT_AS_INT)
+          .disable(MapperFeature.ALLOW_COERCION_OF_SCALARS)
           .build();
 
   private SettingsFile() {}
 
-  /** Reads a settings file. */
-  public static EntrySettings read(Path file) throws CommandException {
+  /**
+   * Reads a settings file.
+   *
+   * @throws InvalidInventoryException with every finding about the file's content
+   * @throws CommandException if the file cannot be read
+   */
+  public static <T extends Record> T read(Path file, Class<T> type)
+      throws CommandException, InvalidInventoryException {
+    Findings findings = Findings.none();
+    Location where = Location.root(file.toString());
     try {
-      return MAPPER.readValue(Files.readString(file), EntrySettings.class);
+      JsonNode settings = MAPPER.readTree(Files.readString(file));
+      check(settings, type, where, findings);
+      findings.throwIfAny();
+      return MAPPER.treeToValue(settings, type);
     } catch (JsonProcessingException e) {
-      String place =
-          e.getLocation() == null
-              ? ""
-              : ":" + e.getLocation().getLineNr() + ":" + e.getLocation().getColumnNr();
-      String firstLine = e.getOriginalMessage().lines().findFirst().orElse("");
-      throw new CommandException(
-          ExitCode.INVALID, file + place + ": " + firstLine + "; mend the settings file", e);
+      JsonLocation at = e.getLocation() == null ? JsonLocation.NA : e.getLocation();
+      findings.add(malformed(where, at.getLineNr(), at.getColumnNr(), e.getOriginalMessage()));
+      throw new InvalidInventoryException(findings.asList());
     } catch (IOException e) {
       throw new CommandException(
           ExitCode.INVALID, "settings file " + file + " cannot be read (" + e + ")", e);
     }
   }
+
+  private static void check(
+      JsonNode settings, Class<? extends Record> type, Location where, Findings findings) {
+    if (!settings.isObject()) {
+      findings.add(wrongType(where, "an object", settings));
+      return;
+    }
+    Set<String> known = new LinkedHashSet<>();
+    for (RecordComponent component : type.getRecordComponents()) {
+      known.add(component.getName());
+      checkField(settings, component, where, findings);
+    }
+    Iterator<String> names = settings.fieldNames();
+    while (names.hasNext()) {
+      String name = names.next();
+      if (!known.contains(name)) {
+        findings.add(unknownField(where.child(name), name, known));
+      }
+    }
+  }
+
+  private static void checkField(
+      JsonNode settings, RecordComponent component, Location where, Findings findings) {
+    JsonNode value = settings.get(component.getName());
+    if (value == null) {
+      findings.add(missingField(where, component.getName()));
+      return;
+    }
+    if (!fits(value, component.getType())) {
+      String expected = "a value of type " + component.getType().getSimpleName();
+      findings.add(wrongType(where.child(component.getName()), expected, value));
+    }
+  }
+
+  private static boolean fits(JsonNode value, Class<?> type) {
+    if (type == String.class) {
+      return value.isTextual();
+    }
+    if (type == int.class) {
+      return value.isIntegralNumber() && value.canConvertToInt();
+    }
+    if (type == long.class) {
+      return value.isIntegralNumber() && value.canConvertToLong();
+    }
+    if (type == boolean.class) {
+      return value.isBoolean();
+    }
+    try {
+      MAPPER.treeToValue(value, type);
+      return !value.isNull();
+    } catch (JsonProcessingException e) {
+      return false;
+    }
+  }
 }
--- /dev/null
+++ b/cli/src/test/java/org/bambooarch/cli/ModuleDependenciesTest.java
@@ -0,0 +1,127 @@
+package org.bambooarch.cli;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
+
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.junit.AnalyzeClasses;
+import com.tngtech.archunit.junit.ArchTest;
+import com.tngtech.archunit.lang.ArchRule;
+
+@AnalyzeClasses(packages = "org.bambooarch", importOptions = ImportOption.DoNotIncludeTests.class)
+class ModuleDependenciesTest {
+
+  private static final String CORE = "org.bambooarch.core..";
+  private static final String INVENTORY = "org.bambooarch.inventory..";
+  private static final String PLATFORM = "org.bambooarch.platform..";
+  private static final String PEER = "org.bambooarch.peer..";
+  private static final String ENTRY = "org.bambooarch.entry..";
+  private static final String STANDIN = "org.bambooarch.standin..";
+  private static final String CLI = "org.bambooarch.cli..";
+
+  @ArchTest
+  static final ArchRule core_should_depend_on_no_other_module =
+      noClasses()
+          .that()
+          .resideInAPackage(CORE)
+          .should()
+          .dependOnClassesThat()
+          .resideInAnyPackage(INVENTORY, PLATFORM, PEER, ENTRY, STANDIN, CLI);
+
+  @ArchTest
+  static final ArchRule core_should_do_no_input_or_output =
+      noClasses()
+          .that()
+          .resideInAPackage(CORE)
+          .should()
+          .dependOnClassesThat()
+          .resideInAnyPackage(
+              "java.io..",
+              "java.nio.file..",
+              "java.nio.channels..",
+              "java.net.http..",
+              "java.sql..",
+              "io.netty..",
+              "com.linecorp..",
+              "com.google.protobuf..",
+              "com.fasterxml..",
+              "org.tinylog..",
+              "io.prometheus..");
+
+  @ArchTest
+  static final ArchRule core_should_take_time_and_chance_from_outside =
+      noClasses()
+          .that()
+          .resideInAPackage(CORE)
+          .and()
+          .doNotHaveSimpleName("SystemClock")
+          .should()
+          .callMethod(System.class, "nanoTime")
+          .orShould()
+          .callMethod(System.class, "currentTimeMillis")
+          .orShould()
+          .callMethod(Math.class, "random")
+          .orShould()
+          .callMethod(java.util.concurrent.ThreadLocalRandom.class, "current")
+          .orShould()
+          .callConstructor(java.util.Random.class);
+
+  @ArchTest
+  static final ArchRule inventory_should_depend_on_core_only =
+      noClasses()
+          .that()
+          .resideInAPackage(INVENTORY)
+          .should()
+          .dependOnClassesThat()
+          .resideInAnyPackage(PLATFORM, PEER, ENTRY, STANDIN, CLI);
+
+  @ArchTest
+  static final ArchRule platform_should_not_know_the_daemons =
+      noClasses()
+          .that()
+          .resideInAPackage(PLATFORM)
+          .should()
+          .dependOnClassesThat()
+          .resideInAnyPackage(PEER, ENTRY, STANDIN, CLI);
+
+  @ArchTest
+  static final ArchRule peer_should_depend_on_core_only =
+      noClasses()
+          .that()
+          .resideInAPackage(PEER)
+          .should()
+          .dependOnClassesThat()
+          .resideInAnyPackage(INVENTORY, PLATFORM, ENTRY, STANDIN, CLI)
+          .allowEmptyShould(true);
+
+  @ArchTest
+  static final ArchRule entry_should_not_use_standins_or_commands =
+      noClasses()
+          .that()
+          .resideInAPackage(ENTRY)
+          .should()
+          .dependOnClassesThat()
+          .resideInAnyPackage(STANDIN, CLI);
+
+  @ArchTest
+  static final ArchRule standins_should_know_the_platform_only =
+      noClasses()
+          .that()
+          .resideInAPackage(STANDIN)
+          .should()
+          .dependOnClassesThat()
+          .resideInAnyPackage(INVENTORY, PEER, ENTRY, CLI);
+
+  @ArchTest
+  static final ArchRule internal_packages_should_be_used_by_their_module_only =
+      noClasses()
+          .that()
+          .resideOutsideOfPackage(INVENTORY)
+          .should()
+          .dependOnClassesThat()
+          .resideInAnyPackage("org.bambooarch.inventory.internal..");
+
+  @ArchTest
+  static final ArchRule modules_should_form_no_cycle =
+      slices().matching("org.bambooarch.(*)..").should().beFreeOfCycles();
+}
