Add the peer protocol between entry instances

Cause: the parts that decide together need a way to talk that works while instances are replaced, and that a stranger on the network cannot use.

Change: Netty transport with length-prefixed protobuf frames of at most 64 KiB, a mutual HMAC challenge and response, an authentication code with a sequence number on each frame, bounded queues both ways, pings that retire a silent connection, and reconnects with back-off and jitter. A registry maps the sealed messages of each concern to the wire.

--- /dev/null
+++ b/peer/src/main/java/org/bambooarch/peer/Secret.java
@@ -0,0 +1,35 @@
+package org.bambooarch.peer;
+
+import java.nio.charset.StandardCharsets;
+
+/** A secret that all instances of a fleet share; it never appears in logs or dumps. */
+public final class Secret {
+
+  private static final int MIN_BYTES = 16;
+
+  private final byte[] bytes;
+
+  private Secret(byte[] bytes) {
+    this.bytes = bytes;
+  }
+
+  /** Returns a secret from its text; at least 16 bytes. */
+  public static Secret secret(String text) {
+    byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+    if (bytes.length < MIN_BYTES) {
+      throw new IllegalArgumentException(
+          "expected a shared secret of at least " + MIN_BYTES + " bytes, got " + bytes.length);
+    }
+    return new Secret(bytes);
+  }
+
+  /** Returns a copy of the bytes. */
+  public byte[] bytes() {
+    return bytes.clone();
+  }
+
+  @Override
+  public String toString() {
+    return "Secret[hidden]";
+  }
+}
--- /dev/null
+++ b/peer/src/main/java/org/bambooarch/peer/codec/ConfigMessageCodec.java
@@ -0,0 +1,144 @@
+package org.bambooarch.peer.codec;
+
+import java.util.List;
+import java.util.Optional;
+import org.bambooarch.core.config.ConfigMessage;
+import org.bambooarch.core.config.LoggedChange;
+import org.bambooarch.peer.DomainCodec;
+import org.bambooarch.peer.generated.PeerProtocol;
+import org.bambooarch.peer.generated.PeerProtocol.ConfigBody;
+import org.bambooarch.peer.generated.PeerProtocol.Envelope;
+
+/** Maps the messages that spread the configuration. */
+public final class ConfigMessageCodec implements DomainCodec<ConfigMessage> {
+
+  @Override
+  public Class<ConfigMessage> domain() {
+    return ConfigMessage.class;
+  }
+
+  @Override
+  public Envelope.BodyCase bodyCase() {
+    return Envelope.BodyCase.CONFIG;
+  }
+
+  @Override
+  public Envelope encode(ConfigMessage message) {
+    ConfigBody.Builder body = ConfigBody.newBuilder();
+    switch (message) {
+      case ConfigMessage.HeadProbe probe -> body.setHeadProbe(probe(probe));
+      case ConfigMessage.HeadStatement statement -> body.setHeadStatement(statement(statement));
+      case ConfigMessage.Deltas deltas -> body.setDeltas(deltas(deltas));
+      case ConfigMessage.PullDeltas pull -> body.setPullDeltas(pullDeltas(pull));
+      case ConfigMessage.PullSnapshot pull -> body.setPullSnapshot(pullSnapshot(pull));
+      case ConfigMessage.SnapshotPart part -> body.setSnapshotPart(part(part));
+    }
+    return Envelope.newBuilder().setConfig(body).build();
+  }
+
+  @Override
+  public Optional<ConfigMessage> decode(Envelope envelope) {
+    ConfigBody body = envelope.getConfig();
+    return switch (body.getMessageCase()) {
+      case HEAD_PROBE -> Optional.of(probe(body.getHeadProbe()));
+      case HEAD_STATEMENT -> Optional.of(statement(body.getHeadStatement()));
+      case DELTAS -> Optional.of(deltas(body.getDeltas()));
+      case PULL_DELTAS ->
+          Optional.of(new ConfigMessage.PullDeltas(body.getPullDeltas().getAfterVersion()));
+      case PULL_SNAPSHOT -> Optional.of(pullSnapshot(body.getPullSnapshot()));
+      case SNAPSHOT_PART -> Optional.of(part(body.getSnapshotPart()));
+      case MESSAGE_NOT_SET -> Optional.empty();
+    };
+  }
+
+  private static PeerProtocol.HeadProbe probe(ConfigMessage.HeadProbe probe) {
+    return PeerProtocol.HeadProbe.newBuilder()
+        .setNumber(probe.number())
+        .setAppliedVersion(probe.appliedVersion())
+        .build();
+  }
+
+  private static ConfigMessage probe(PeerProtocol.HeadProbe probe) {
+    return new ConfigMessage.HeadProbe(probe.getNumber(), probe.getAppliedVersion());
+  }
+
+  private static PeerProtocol.HeadStatement statement(ConfigMessage.HeadStatement statement) {
+    PeerProtocol.HeadStatement.Builder builder =
+        PeerProtocol.HeadStatement.newBuilder()
+            .setProbeNumber(statement.probeNumber())
+            .setAppliedVersion(statement.appliedVersion())
+            .setHeadVersion(statement.headVersion());
+    if (statement.headAgeNanos() >= 0) {
+      builder.setHeadAgeNanos(statement.headAgeNanos());
+    }
+    if (statement.observedOutageAgeNanos() >= 0) {
+      builder.setObservedOutageAgeNanos(statement.observedOutageAgeNanos());
+    }
+    if (statement.attestedOutageAgeNanos() >= 0) {
+      builder.setAttestedOutageAgeNanos(statement.attestedOutageAgeNanos());
+    }
+    return builder.build();
+  }
+
+  private static ConfigMessage statement(PeerProtocol.HeadStatement statement) {
+    return new ConfigMessage.HeadStatement(
+        statement.getProbeNumber(),
+        statement.getAppliedVersion(),
+        statement.getHeadVersion(),
+        age(statement.hasHeadAgeNanos(), statement.getHeadAgeNanos()),
+        age(statement.hasObservedOutageAgeNanos(), statement.getObservedOutageAgeNanos()),
+        age(statement.hasAttestedOutageAgeNanos(), statement.getAttestedOutageAgeNanos()));
+  }
+
+  private static long age(boolean known, long ageNanos) {
+    return known && ageNanos >= 0 ? ageNanos : ConfigMessage.UNKNOWN_AGE_NANOS;
+  }
+
+  private static PeerProtocol.Deltas deltas(ConfigMessage.Deltas deltas) {
+    PeerProtocol.Deltas.Builder builder = PeerProtocol.Deltas.newBuilder();
+    for (LoggedChange change : deltas.changes()) {
+      builder.addChanges(
+          PeerProtocol.LoggedChange.newBuilder()
+              .setVersion(change.version())
+              .setText(change.text()));
+    }
+    return builder.build();
+  }
+
+  private static ConfigMessage deltas(PeerProtocol.Deltas deltas) {
+    List<LoggedChange> changes =
+        deltas.getChangesList().stream()
+            .map(change -> new LoggedChange(change.getVersion(), change.getText()))
+            .toList();
+    return new ConfigMessage.Deltas(changes);
+  }
+
+  private static PeerProtocol.PullDeltas pullDeltas(ConfigMessage.PullDeltas pull) {
+    return PeerProtocol.PullDeltas.newBuilder().setAfterVersion(pull.afterVersion()).build();
+  }
+
+  private static PeerProtocol.PullSnapshot pullSnapshot(ConfigMessage.PullSnapshot pull) {
+    return PeerProtocol.PullSnapshot.newBuilder()
+        .setVersion(pull.version())
+        .setOffsetChars(pull.offsetChars())
+        .build();
+  }
+
+  private static ConfigMessage pullSnapshot(PeerProtocol.PullSnapshot pull) {
+    return new ConfigMessage.PullSnapshot(pull.getVersion(), pull.getOffsetChars());
+  }
+
+  private static PeerProtocol.SnapshotPart part(ConfigMessage.SnapshotPart part) {
+    return PeerProtocol.SnapshotPart.newBuilder()
+        .setVersion(part.version())
+        .setTotalChars(part.totalChars())
+        .setOffsetChars(part.offsetChars())
+        .setText(part.text())
+        .build();
+  }
+
+  private static ConfigMessage part(PeerProtocol.SnapshotPart part) {
+    return new ConfigMessage.SnapshotPart(
+        part.getVersion(), part.getTotalChars(), part.getOffsetChars(), part.getText());
+  }
+}
--- /dev/null
+++ b/peer/src/main/java/org/bambooarch/peer/internal/AcceptorSession.java
@@ -0,0 +1,42 @@
+package org.bambooarch.peer.internal;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import org.bambooarch.peer.generated.PeerProtocol.Envelope;
+import org.bambooarch.peer.generated.PeerProtocol.Pong;
+
+/** An authenticated connection that a peer opened: it brings messages and pings. */
+final class AcceptorSession extends SimpleChannelInboundHandler<byte[]> {
+
+  private final String instance;
+  private final SessionKeys keys;
+  private final Inbox inbox;
+
+  AcceptorSession(String instance, SessionKeys keys, Inbox inbox) {
+    this.instance = instance;
+    this.keys = keys;
+    this.inbox = inbox;
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext context, byte[] frame) throws Exception {
+    inbox.countBytes(Integer.BYTES + frame.length);
+    Envelope envelope = Inbox.parse(keys.opener().open(frame));
+    if (envelope.getBodyCase() == Envelope.BodyCase.PING) {
+      answerPing(context, envelope.getPing().getNumber());
+      return;
+    }
+    inbox.receive(instance, envelope);
+  }
+
+  private void answerPing(ChannelHandlerContext context, long number) {
+    if (!context.channel().isWritable()) {
+      // The peer sends pings without reading the answers; answers must not pile up here.
+      context.close();
+      return;
+    }
+    Pong pong = Pong.newBuilder().setNumber(number).build();
+    byte[] answer = Envelope.newBuilder().setPong(pong).build().toByteArray();
+    Frames.write(context.channel(), keys.acceptor().seal(answer));
+  }
+}
--- /dev/null
+++ b/peer/src/main/java/org/bambooarch/peer/internal/FrameDecoder.java
@@ -0,0 +1,42 @@
+package org.bambooarch.peer.internal;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.ByteToMessageDecoder;
+import java.util.List;
+
+/** Cuts the byte stream into length-prefixed frames whose size is bounded. */
+public final class FrameDecoder extends ByteToMessageDecoder {
+
+  /** Largest frame before the peer is authenticated, in bytes. */
+  public static final int UNPROVEN_LIMIT_BYTES = 1024;
+
+  /** Largest frame of an authenticated peer, in bytes. */
+  public static final int PROVEN_LIMIT_BYTES = 64 * 1024;
+
+  private int limitBytes = UNPROVEN_LIMIT_BYTES;
+
+  /** Allows frames of an authenticated peer. */
+  void allowProvenFrames() {
+    limitBytes = PROVEN_LIMIT_BYTES;
+  }
+
+  @Override
+  protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out)
+      throws FrameException {
+    if (in.readableBytes() < Integer.BYTES) {
+      return;
+    }
+    int length = in.getInt(in.readerIndex());
+    if (length < 0 || length > limitBytes) {
+      throw FrameException.tooLong(length, limitBytes);
+    }
+    if (in.readableBytes() < Integer.BYTES + length) {
+      return;
+    }
+    in.skipBytes(Integer.BYTES);
+    byte[] frame = new byte[length];
+    in.readBytes(frame);
+    out.add(frame);
+  }
+}
--- /dev/null
+++ b/peer/src/main/java/org/bambooarch/peer/internal/Frames.java
@@ -0,0 +1,21 @@
+package org.bambooarch.peer.internal;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+
+/** Writes length-prefixed frames. */
+final class Frames {
+
+  /** Bytes that a frame adds to its payload: the length and the authentication code. */
+  static final int OVERHEAD_BYTES = Integer.BYTES + FrameSeal.CODE_BYTES;
+
+  private Frames() {}
+
+  static ChannelFuture write(Channel channel, byte[] frame) {
+    ByteBuf buffer = channel.alloc().buffer(Integer.BYTES + frame.length);
+    buffer.writeInt(frame.length);
+    buffer.writeBytes(frame);
+    return channel.writeAndFlush(buffer);
+  }
+}
--- /dev/null
+++ b/peer/src/main/java/org/bambooarch/peer/internal/Inbox.java
@@ -0,0 +1,94 @@
+package org.bambooarch.peer.internal;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.Optional;
+import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.LongAdder;
+import org.bambooarch.core.peer.PeerMessage;
+import org.bambooarch.peer.PeerCodec;
+import org.bambooarch.peer.PeerHandler;
+import org.bambooarch.peer.generated.PeerProtocol.Envelope;
+
+/** Hands received messages to the control thread; what exceeds its bound is dropped. */
+public final class Inbox {
+
+  private static final int MAX_WAITING_MESSAGES = 10_000;
+
+  private final PeerCodec codec;
+  private final Executor control;
+  private final AtomicInteger waitingMessages = new AtomicInteger();
+  private final LongAdder receivedMessages = new LongAdder();
+  private final LongAdder receivedBytes = new LongAdder();
+  private final LongAdder unknownMessages = new LongAdder();
+  private final LongAdder droppedMessages = new LongAdder();
+  private volatile PeerHandler handler = (fromInstance, message) -> {};
+
+  /** Creates the inbox in front of the control executor. */
+  public Inbox(PeerCodec codec, Executor control) {
+    this.codec = codec;
+    this.control = control;
+  }
+
+  /** Sets who receives the messages. */
+  public void deliverTo(PeerHandler newHandler) {
+    handler = newHandler;
+  }
+
+  void countBytes(int bytes) {
+    receivedBytes.add(bytes);
+  }
+
+  void receive(String fromInstance, Envelope envelope) {
+    Optional<PeerMessage> message = codec.decode(envelope);
+    if (message.isEmpty()) {
+      unknownMessages.increment();
+      return;
+    }
+    if (waitingMessages.incrementAndGet() > MAX_WAITING_MESSAGES) {
+      waitingMessages.decrementAndGet();
+      droppedMessages.increment();
+      return;
+    }
+    receivedMessages.increment();
+    hand(fromInstance, message.get());
+  }
+
+  static Envelope parse(byte[] payload) throws InvalidProtocolBufferException {
+    return Envelope.parseFrom(payload);
+  }
+
+  private void hand(String fromInstance, PeerMessage message) {
+    try {
+      control.execute(
+          () -> {
+            waitingMessages.decrementAndGet();
+            handler.onMessage(fromInstance, message);
+          });
+    } catch (RejectedExecutionException e) {
+      waitingMessages.decrementAndGet();
+      droppedMessages.increment();
+    }
+  }
+
+  /** Returns the number of messages handed to the control thread. */
+  public long receivedMessages() {
+    return receivedMessages.sum();
+  }
+
+  /** Returns the bytes of all frames received. */
+  public long receivedBytes() {
+    return receivedBytes.sum();
+  }
+
+  /** Returns the number of messages of types that this version does not know. */
+  public long unknownMessages() {
+    return unknownMessages.sum();
+  }
+
+  /** Returns the number of messages dropped because the control thread was behind. */
+  public long droppedMessages() {
+    return droppedMessages.sum();
+  }
+}
--- /dev/null
+++ b/peer/src/main/java/org/bambooarch/peer/internal/OpenerHandshake.java
@@ -0,0 +1,67 @@
+package org.bambooarch.peer.internal;
+
+import com.google.protobuf.ByteString;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import java.security.SecureRandom;
+import java.util.function.BiConsumer;
+import org.bambooarch.peer.PeerSettings;
+import org.bambooarch.peer.Secret;
+import org.bambooarch.peer.generated.PeerProtocol.Hello;
+import org.bambooarch.peer.generated.PeerProtocol.Proof;
+
+/** The handshake of the side that opened the connection. */
+final class OpenerHandshake extends SimpleChannelInboundHandler<byte[]> {
+
+  private static final SecureRandom RANDOM = new SecureRandom();
+
+  private final Secret secret;
+  private final Hello ownHello;
+  private final BiConsumer<ChannelHandlerContext, SessionKeys> whenProven;
+
+  OpenerHandshake(
+      PeerSettings settings,
+      String expectedInstance,
+      BiConsumer<ChannelHandlerContext, SessionKeys> whenProven) {
+    this.secret = settings.secrets().getFirst();
+    this.ownHello = hello(settings, expectedInstance, secret);
+    this.whenProven = whenProven;
+  }
+
+  static ByteString newNonce() {
+    byte[] nonce = new byte[Handshake.NONCE_BYTES];
+    RANDOM.nextBytes(nonce);
+    return ByteString.copyFrom(nonce);
+  }
+
+  private static Hello hello(PeerSettings settings, String expectedInstance, Secret secret) {
+    return Hello.newBuilder()
+        .setMinVersion(Handshake.MIN_VERSION)
+        .setMaxVersion(Handshake.MAX_VERSION)
+        .setInstance(settings.instance())
+        .setExpectedInstance(expectedInstance)
+        .setNonce(newNonce())
+        .setSecretId(Handshake.secretId(secret))
+        .build();
+  }
+
+  @Override
+  public void channelActive(ChannelHandlerContext context) {
+    Frames.write(context.channel(), ownHello.toByteArray());
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext context, byte[] frame) throws Exception {
+    Hello remote = Hello.parseFrom(frame);
+    Handshake.check(remote);
+    if (!remote.getInstance().equals(ownHello.getExpectedInstance())) {
+      throw HandshakeException.wrongInstance(ownHello.getExpectedInstance(), remote.getInstance());
+    }
+    byte[] expected = Handshake.derive(secret, Handshake.Label.ACCEPTOR_PROOF, ownHello, remote);
+    Handshake.checkProof(expected, remote.getProof(), remote.getInstance());
+    byte[] proof = Handshake.derive(secret, Handshake.Label.OPENER_PROOF, ownHello, remote);
+    Proof answer = Proof.newBuilder().setProof(ByteString.copyFrom(proof)).build();
+    Frames.write(context.channel(), answer.toByteArray());
+    whenProven.accept(context, SessionKeys.derive(secret, ownHello, remote));
+  }
+}
--- /dev/null
+++ b/peer/src/main/java/org/bambooarch/peer/internal/OutboundPeer.java
@@ -0,0 +1,187 @@
+package org.bambooarch.peer.internal;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.timeout.ReadTimeoutHandler;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.LongAdder;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.bambooarch.peer.PeerAddress;
+import org.bambooarch.peer.PeerEvent;
+import org.bambooarch.peer.PeerSettings;
+import org.bambooarch.peer.PeerStatus;
+
+/** The connection that carries this instance's messages to one peer, opened again when it ends. */
+public final class OutboundPeer {
+
+  private final PeerAddress address;
+  private final PeerSettings settings;
+  private final EventLoop loop;
+  private final BackOff backOff;
+  private final Consumer<PeerEvent> events;
+  private final AtomicLong queuedBytes = new AtomicLong();
+  private final LongAdder sentMessages = new LongAdder();
+  private final LongAdder sentBytes = new LongAdder();
+  private final LongAdder droppedMessages = new LongAdder();
+  private volatile boolean closed;
+  // Both are written on the event loop only.
+  private volatile Channel channel;
+  private volatile OpenerSession session;
+
+  /** Creates the peer; {@link #open} connects it. */
+  public OutboundPeer(
+      PeerAddress address,
+      PeerSettings settings,
+      EventLoopGroup group,
+      RandomGenerator random,
+      Consumer<PeerEvent> events) {
+    this.address = address;
+    this.settings = settings;
+    this.loop = group.next();
+    this.events = events;
+    this.backOff =
+        new BackOff(settings.reconnectMin().toMillis(), settings.reconnectMax().toMillis(), random);
+  }
+
+  /** Returns where the peer listens. */
+  public PeerAddress address() {
+    return address;
+  }
+
+  /** Starts to connect. */
+  public void open() {
+    loop.execute(this::connect);
+  }
+
+  /** Ends the connection for good. */
+  public void close() {
+    closed = true;
+    loop.execute(
+        () -> {
+          if (channel != null) {
+            channel.close();
+          }
+        });
+  }
+
+  /** Queues an encoded envelope, or drops it when the peer is away or its queue is full. */
+  public void send(byte[] payload) {
+    int frameBytes = payload.length + Frames.OVERHEAD_BYTES;
+    if (session == null || frameBytes - Integer.BYTES > FrameDecoder.PROVEN_LIMIT_BYTES) {
+      droppedMessages.increment();
+      return;
+    }
+    if (queuedBytes.addAndGet(frameBytes) > settings.queueLimitBytes()) {
+      queuedBytes.addAndGet(-frameBytes);
+      droppedMessages.increment();
+      return;
+    }
+    loop.execute(() -> write(payload, frameBytes));
+  }
+
+  private void write(byte[] payload, int frameBytes) {
+    if (session == null) {
+      queuedBytes.addAndGet(-frameBytes);
+      droppedMessages.increment();
+      return;
+    }
+    ChannelFuture written = Frames.write(channel, session.seal(payload));
+    written.addListener(done -> countWritten(done.isSuccess(), frameBytes));
+  }
+
+  private void countWritten(boolean success, int frameBytes) {
+    queuedBytes.addAndGet(-frameBytes);
+    if (!success) {
+      droppedMessages.increment();
+      return;
+    }
+    sentMessages.increment();
+    sentBytes.add(frameBytes);
+  }
+
+  private void connect() {
+    if (closed) {
+      return;
+    }
+    long silenceMillis = settings.silenceLimit().toMillis();
+    Bootstrap bootstrap =
+        new Bootstrap()
+            .group(loop)
+            .channel(NioSocketChannel.class)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) silenceMillis)
+            .handler(
+                new ChannelInitializer<Channel>() {
+                  @Override
+                  protected void initChannel(Channel opened) {
+                    initialize(opened, silenceMillis);
+                  }
+                });
+    bootstrap.connect(address.host(), address.port()).addListener(this::whenConnected);
+  }
+
+  private void initialize(Channel opened, long silenceMillis) {
+    opened
+        .pipeline()
+        .addLast(new ReadTimeoutHandler(silenceMillis, TimeUnit.MILLISECONDS))
+        .addLast(new FrameDecoder())
+        .addLast(new OpenerHandshake(settings, address.instance(), this::whenProven))
+        .addLast(new ConnectionEnd(silenceMillis, this::whenEnded));
+  }
+
+  private void whenConnected(io.netty.util.concurrent.Future<? super Void> connected) {
+    if (!connected.isSuccess()) {
+      reconnectLater();
+    }
+  }
+
+  private void whenProven(ChannelHandlerContext context, SessionKeys keys) {
+    OpenerSession proven = new OpenerSession(keys, settings.pingInterval());
+    context.pipeline().get(FrameDecoder.class).allowProvenFrames();
+    context.pipeline().get(ConnectionEnd.class).markProven();
+    context.pipeline().replace(context.handler(), "session", proven);
+    backOff.reset();
+    channel = context.channel();
+    session = proven;
+    events.accept(new PeerEvent.Connected(address.instance()));
+    if (closed) {
+      channel.close();
+    }
+  }
+
+  private void whenEnded(String reason) {
+    session = null;
+    channel = null;
+    if (!closed) {
+      events.accept(new PeerEvent.Disconnected(address.instance(), reason));
+    }
+    reconnectLater();
+  }
+
+  private void reconnectLater() {
+    if (closed || loop.isShuttingDown()) {
+      return;
+    }
+    loop.schedule(this::connect, backOff.nextMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  /** Returns the figures of this peer. */
+  public PeerStatus status() {
+    return new PeerStatus(
+        address.instance(),
+        session != null,
+        queuedBytes.get(),
+        sentMessages.sum(),
+        sentBytes.sum(),
+        droppedMessages.sum());
+  }
+}
--- /dev/null
+++ b/peer/src/main/java/org/bambooarch/peer/internal/PeerListener.java
@@ -0,0 +1,121 @@
+package org.bambooarch.peer.internal;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.timeout.ReadTimeoutHandler;
+import io.netty.handler.traffic.ChannelTrafficShapingHandler;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+import org.bambooarch.peer.PeerEvent;
+import org.bambooarch.peer.PeerSettings;
+
+/** Accepts connections of peers. */
+public final class PeerListener {
+
+  private static final int MAX_UNPROVEN_CONNECTIONS = 256;
+  private static final long SHAPING_CHECK_MILLIS = 100;
+  private static final long SHAPING_MAX_WAIT_MILLIS = 1_000;
+
+  private final PeerSettings settings;
+  private final Inbox inbox;
+  private final Consumer<PeerEvent> events;
+  private final Map<String, Channel> channelsByInstance = new ConcurrentHashMap<>();
+  private final AtomicInteger unprovenConnections = new AtomicInteger();
+  private volatile Channel server;
+
+  /** Creates the listener. */
+  public PeerListener(PeerSettings settings, Inbox inbox, Consumer<PeerEvent> events) {
+    this.settings = settings;
+    this.inbox = inbox;
+    this.events = events;
+  }
+
+  /** Binds and returns the port. */
+  public int bind(EventLoopGroup group) throws InterruptedException {
+    ServerBootstrap bootstrap =
+        new ServerBootstrap()
+            .group(group)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(
+                new ChannelInitializer<Channel>() {
+                  @Override
+                  protected void initChannel(Channel accepted) {
+                    initialize(accepted);
+                  }
+                });
+    server = bootstrap.bind(settings.host(), settings.port()).sync().channel();
+    return ((InetSocketAddress) server.localAddress()).getPort();
+  }
+
+  /** Stops accepting and ends all accepted connections. */
+  public void close() {
+    if (server != null) {
+      server.close();
+    }
+    channelsByInstance.values().forEach(Channel::close);
+  }
+
+  private void initialize(Channel accepted) {
+    if (unprovenConnections.incrementAndGet() > MAX_UNPROVEN_CONNECTIONS) {
+      unprovenConnections.decrementAndGet();
+      accepted.close();
+      return;
+    }
+    Acceptance acceptance = new Acceptance(accepted);
+    long silenceMillis = settings.silenceLimit().toMillis();
+    accepted
+        .pipeline()
+        .addLast(
+            new ChannelTrafficShapingHandler(
+                0, settings.inboundBytesPerSecond(), SHAPING_CHECK_MILLIS, SHAPING_MAX_WAIT_MILLIS))
+        .addLast(new ReadTimeoutHandler(2 * silenceMillis, TimeUnit.MILLISECONDS))
+        .addLast(new FrameDecoder())
+        .addLast(new AcceptorHandshake(settings, acceptance::whenProven))
+        .addLast(new ConnectionEnd(silenceMillis, acceptance::whenEnded));
+  }
+
+  /** The life of one accepted connection. */
+  private final class Acceptance {
+
+    private final Channel channel;
+    private String instance;
+
+    Acceptance(Channel channel) {
+      this.channel = channel;
+    }
+
+    void whenProven(ChannelHandlerContext context, String provenInstance, SessionKeys keys) {
+      unprovenConnections.decrementAndGet();
+      instance = provenInstance;
+      context.pipeline().get(FrameDecoder.class).allowProvenFrames();
+      context.pipeline().get(ConnectionEnd.class).markProven();
+      AcceptorSession session = new AcceptorSession(provenInstance, keys, inbox);
+      context.pipeline().replace(context.handler(), "session", session);
+      Channel earlier = channelsByInstance.put(provenInstance, channel);
+      if (earlier != null) {
+        // The peer opens one connection at a time, so the earlier one is dead at its end.
+        earlier.close();
+      }
+    }
+
+    void whenEnded(String reason) {
+      if (instance == null) {
+        unprovenConnections.decrementAndGet();
+        events.accept(new PeerEvent.Rejected(String.valueOf(channel.remoteAddress()), reason));
+        return;
+      }
+      channelsByInstance.remove(instance, channel);
+    }
+  }
+}
--- /dev/null
+++ b/peer/src/test/java/org/bambooarch/peer/PeerCodecTest.java
@@ -0,0 +1,62 @@
+package org.bambooarch.peer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import com.google.protobuf.UnknownFieldSet;
+import java.util.List;
+import java.util.stream.Stream;
+import org.bambooarch.core.config.ConfigMessage;
+import org.bambooarch.core.config.LoggedChange;
+import org.bambooarch.core.peer.PeerMessage;
+import org.bambooarch.peer.generated.PeerProtocol.Envelope;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+class PeerCodecTest {
+
+  private record Unregistered() implements PeerMessage {}
+
+  private final PeerCodec codec = PeerCodec.standard();
+
+  static Stream<PeerMessage> messages() {
+    return Stream.of(
+        new ConfigMessage.HeadProbe(7, 12),
+        new ConfigMessage.HeadStatement(7, 12, 13, 0, -1, 5_000_000),
+        new ConfigMessage.HeadStatement(7, 12, 13, -1, 4, -1),
+        new ConfigMessage.Deltas(List.of(new LoggedChange(13, "{}"), new LoggedChange(14, "é"))),
+        new ConfigMessage.PullDeltas(12),
+        new ConfigMessage.PullSnapshot(0, 0),
+        new ConfigMessage.SnapshotPart(12, 100, 50, "text"));
+  }
+
+  @ParameterizedTest
+  @MethodSource("messages")
+  void should_give_back_the_same_message_after_the_wire(PeerMessage message) throws Exception {
+    byte[] wire = codec.encode(message).toByteArray();
+    assertThat(codec.decode(Envelope.parseFrom(wire))).contains(message);
+  }
+
+  @Test
+  void should_ignore_a_body_that_only_a_newer_version_knows() throws Exception {
+    // given
+    UnknownFieldSet newerBody =
+        UnknownFieldSet.newBuilder()
+            .addField(900, UnknownFieldSet.Field.newBuilder().addVarint(1).build())
+            .build();
+    Envelope newer = Envelope.newBuilder().setUnknownFields(newerBody).build();
+    // when
+    Envelope received = Envelope.parseFrom(newer.toByteArray());
+    // then
+    assertThat(codec.decode(received)).isEmpty();
+  }
+
+  @Test
+  void should_name_the_type_when_a_message_has_no_codec() {
+    // given
+    PeerMessage unregistered = new Unregistered();
+    // when / then
+    assertThatThrownBy(() -> codec.encode(unregistered)).hasMessageContaining("Unregistered");
+  }
+}
--- /dev/null
+++ b/peer/src/test/java/org/bambooarch/peer/PeerNetworkTest.java
@@ -0,0 +1,142 @@
+package org.bambooarch.peer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
+import org.bambooarch.core.config.ConfigMessage;
+import org.bambooarch.core.peer.PeerMessage;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+// The timeout only ends a run that hangs; no test depends on how long something takes.
+@Timeout(60)
+class PeerNetworkTest {
+
+  private static final String HOST = "127.0.0.1";
+  private static final Secret SECRET = Secret.secret("the shared secret of this fleet");
+  private static final PeerMessage MESSAGE = new ConfigMessage.PullDeltas(41);
+
+  private final ExecutorService control = Executors.newSingleThreadExecutor();
+  private final List<AutoCloseable> opened = new ArrayList<>();
+  private final BlockingQueue<PeerMessage> received = new LinkedBlockingQueue<>();
+  private final BlockingQueue<String> senders = new LinkedBlockingQueue<>();
+  private final BlockingQueue<PeerEvent> events = new LinkedBlockingQueue<>();
+
+  @AfterEach
+  void close() throws Exception {
+    for (AutoCloseable closeable : opened) {
+      closeable.close();
+    }
+    control.shutdownNow();
+  }
+
+  private PeerNetwork network(String instance, Secret secret) {
+    PeerSettings settings =
+        PeerSettings.of(instance, HOST, 0, List.of(secret))
+            .withSilence(Duration.ofMillis(50), Duration.ofMillis(500));
+    PeerNetwork network =
+        PeerNetwork.create(settings, PeerCodec.standard(), control, new Random(1));
+    opened.add(network);
+    return network.onEvent(events::add);
+  }
+
+  private int startReceiver(String instance, Secret secret) throws Exception {
+    return network(instance, secret)
+        .onMessage(
+            (from, message) -> {
+              senders.add(from);
+              received.add(message);
+            })
+        .start();
+  }
+
+  private <T extends PeerEvent> T awaitEvent(Class<T> type) throws InterruptedException {
+    while (true) {
+      PeerEvent event = events.take();
+      if (type.isInstance(event)) {
+        return type.cast(event);
+      }
+    }
+  }
+
+  @Test
+  void should_deliver_a_message_with_the_proven_name_of_its_sender() throws Exception {
+    // given
+    int port = startReceiver("tvm-a-1", SECRET);
+    PeerNetwork sender = network("kochi-a-1", SECRET);
+    sender.start();
+    sender.updatePeers(List.of(new PeerAddress("tvm-a-1", HOST, port)));
+    awaitEvent(PeerEvent.Connected.class);
+    // when
+    sender.send("tvm-a-1", MESSAGE);
+    // then
+    assertThat(received.take()).isEqualTo(MESSAGE);
+    assertThat(senders.take()).isEqualTo("kochi-a-1");
+  }
+
+  @Test
+  void should_reject_a_peer_when_it_has_another_secret() throws Exception {
+    // given
+    int port = startReceiver("tvm-a-1", SECRET);
+    PeerNetwork stranger = network("kochi-a-1", Secret.secret("a secret of someone else"));
+    stranger.start();
+    // when
+    stranger.updatePeers(List.of(new PeerAddress("tvm-a-1", HOST, port)));
+    // then
+    assertThat(awaitEvent(PeerEvent.Rejected.class).reason()).contains("shared secrets");
+    assertThat(stranger.statuses().getFirst().connected()).isFalse();
+  }
+
+  @Test
+  void should_not_connect_when_another_instance_listens_at_the_address() throws Exception {
+    // given
+    int port = startReceiver("tvm-a-2", SECRET);
+    PeerNetwork sender = network("kochi-a-1", SECRET);
+    sender.start();
+    // when
+    sender.updatePeers(List.of(new PeerAddress("tvm-a-1", HOST, port)));
+    // then
+    assertThat(awaitEvent(PeerEvent.Rejected.class).reason())
+        .contains("expected instance tvm-a-1", "got tvm-a-2");
+  }
+
+  @Test
+  void should_retire_a_connection_that_went_silent_and_use_a_new_one() throws Exception {
+    // given
+    int port = startReceiver("tvm-a-1", SECRET);
+    Forwarder forwarder = Forwarder.to(HOST, port);
+    opened.add(forwarder);
+    PeerNetwork sender = network("kochi-a-1", SECRET);
+    sender.start();
+    sender.updatePeers(List.of(new PeerAddress("tvm-a-1", HOST, forwarder.port())));
+    awaitEvent(PeerEvent.Connected.class);
+    // when
+    forwarder.silenceOpenConnections();
+    // then
+    assertThat(awaitEvent(PeerEvent.Disconnected.class).reason()).contains("no sign of life");
+    awaitEvent(PeerEvent.Connected.class);
+    sender.send("tvm-a-1", MESSAGE);
+    assertThat(received.take()).isEqualTo(MESSAGE);
+  }
+
+  @Test
+  void should_drop_and_count_a_message_when_the_peer_is_away() throws Exception {
+    // given
+    int port = startReceiver("tvm-a-1", SECRET);
+    PeerNetwork sender = network("kochi-a-1", Secret.secret("a secret of someone else"));
+    sender.start();
+    sender.updatePeers(List.of(new PeerAddress("tvm-a-1", HOST, port)));
+    // when
+    sender.send("tvm-a-1", MESSAGE);
+    // then
+    assertThat(sender.statuses().getFirst().droppedMessages()).isEqualTo(1);
+  }
+}
