--- /dev/null
+++ b/core/src/main/java/org/bambooarch/core/config/SpreadMember.java
@@ -0,0 +1,9 @@
+package org.bambooarch.core.config;
+
+/**
+ * A live instance as the spread of the configuration sees it.
+ *
+ * @param instance unique name
+ * @param dataCentre name of its data centre
+ */
+public record SpreadMember(String instance, String dataCentre) {}
