Choose target servers by health, room, delay and link budget

Cause: entry instances have no way to choose a server; ten of them share servers of 3 to 6 slots, so none may assume that it is alone. Conclusion: the entry can be wired to TargetChooser.choose and the four methods that end a request; the control thread calls tick every 50 ms.

--- /dev/null
+++ b/core/src/main/java/org/bambooarch/core/link/package-info.java
@@ -0,0 +1,2 @@
+/** Byte budgets of the links between regions. */
+package org.bambooarch.core.link;
--- /dev/null
+++ b/core/src/main/java/org/bambooarch/core/routing/ChosenObjects.java
@@ -0,0 +1,51 @@
+package org.bambooarch.core.routing;
+
+import org.bambooarch.core.inventory.Route;
+import org.bambooarch.core.link.LinkBudget;
+import org.bambooarch.core.link.LinkBudgets;
+import org.bambooarch.core.routing.internal.Pool;
+import org.bambooarch.core.routing.internal.TargetState;
+
+/**
+ * Builds the results of a choice ahead, one for each route and server, so that none is allocated.
+ */
+final class ChosenObjects {
+
+  private ChosenObjects() {}
+
+  static Chosen[][] create(TargetTable table, LinkBudgets links, TargetState state) {
+    Chosen[][] chosen = new Chosen[table.routeCount()][];
+    for (int route = 0; route < chosen.length; route++) {
+      chosen[route] = new Chosen[table.servers().size()];
+      int service = table.serviceOfRoute(route);
+      for (int pool = 0; pool < state.pools[service].length; pool++) {
+        fillPool(chosen[route], table, links, state, route, pool);
+      }
+    }
+    return chosen;
+  }
+
+  private static void fillPool(
+      Chosen[] chosen,
+      TargetTable table,
+      LinkBudgets links,
+      TargetState state,
+      int routeRow,
+      int poolRow) {
+    int service = table.serviceOfRoute(routeRow);
+    Pool pool = state.pools[service][poolRow];
+    Route route = table.route(routeRow);
+    LinkBudget answerLink =
+        pool.remote() ? links.find(pool.region(), table.localRegion()).orElse(null) : null;
+    for (int server : pool.servers()) {
+      chosen[server] =
+          new Chosen(
+              server,
+              table.servers().get(server),
+              state.cells[server],
+              state.poolCells[service][poolRow],
+              answerLink,
+              route.expectedAnswerBytes());
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/bambooarch/core/routing/RoutingSettings.java
@@ -0,0 +1,64 @@
+package org.bambooarch.core.routing;
+
+/**
+ * Constants of the choice of servers.
+ *
+ * @param choices servers compared for each request; 2 is power of two choices
+ * @param limitGrowthSlotsPerSecond additive growth of a server's limit while it is fully used
+ * @param limitBackoff factor on a server's limit after it shed load
+ * @param maxEjectedShare largest part of a service's servers that may be ejected at once
+ * @param consecutiveFailuresToEject failures in a row that eject a server
+ * @param ejectionNanos first ejection time; doubles with each further ejection
+ * @param slowStartNanos time in which a returning server's limit rises to its full value
+ * @param spillAfterNanos time without local room before other regions are used
+ * @param spillEndsAfterNanos time with local room before other regions are left
+ * @param browseCeiling part of the room that browsing may fill
+ * @param bulkCeiling part of the room that bulk may fill
+ */
+public record RoutingSettings(
+    int choices,
+    double limitGrowthSlotsPerSecond,
+    double limitBackoff,
+    double maxEjectedShare,
+    int consecutiveFailuresToEject,
+    long ejectionNanos,
+    long slowStartNanos,
+    long spillAfterNanos,
+    long spillEndsAfterNanos,
+    double browseCeiling,
+    double bulkCeiling) {
+
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+
+  /** Returns the settings in use unless an operator states others. */
+  public static RoutingSettings defaults() {
+    return new RoutingSettings(
+        2,
+        2.0,
+        0.7,
+        0.67,
+        4,
+        5_000 * NANOS_PER_MILLI,
+        10_000 * NANOS_PER_MILLI,
+        100 * NANOS_PER_MILLI,
+        1_000 * NANOS_PER_MILLI,
+        0.95,
+        0.6);
+  }
+
+  /** Returns the same settings with another bound on ejected servers. */
+  public RoutingSettings withMaxEjectedShare(double share) {
+    return new RoutingSettings(
+        choices,
+        limitGrowthSlotsPerSecond,
+        limitBackoff,
+        share,
+        consecutiveFailuresToEject,
+        ejectionNanos,
+        slowStartNanos,
+        spillAfterNanos,
+        spillEndsAfterNanos,
+        browseCeiling,
+        bulkCeiling);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/bambooarch/core/routing/TargetChooser.java
@@ -0,0 +1,266 @@
+package org.bambooarch.core.routing;
+
+import java.util.random.RandomGenerator;
+import org.bambooarch.core.inventory.PriorityClass;
+import org.bambooarch.core.link.LinkBudgets;
+import org.bambooarch.core.routing.internal.EjectionSystem;
+import org.bambooarch.core.routing.internal.LimitSystem;
+import org.bambooarch.core.routing.internal.Pool;
+import org.bambooarch.core.routing.internal.PoolCell;
+import org.bambooarch.core.routing.internal.SpillSystem;
+import org.bambooarch.core.routing.internal.TargetState;
+import org.bambooarch.core.routing.internal.TargetView;
+import org.bambooarch.core.routing.internal.ViewBuilder;
+import org.bambooarch.core.time.Clock;
+
+/**
+ * Chooses a server for each request by health, room, delay and link budget.
+ *
+ * <p>The servers of this instance's region come first. Two of them are drawn at random and the one
+ * with the lower expected time is taken (power of two choices; Mitzenmacher, 2001). Other regions
+ * are used when the local one has had no room for a while or no server in use, and only within the
+ * link's budget.
+ *
+ * <p>Traffic threads call {@link #choose} and then exactly one of {@link #onAnswered}, {@link
+ * #onFailed}, {@link #onShed} and {@link #onCancelled}; none of them allocates or waits. The
+ * control thread calls {@link #tick}, {@link #onReport} and {@link #reconfigured}.
+ *
+ * <pre>{@code
+ * switch (chooser.choose(route, TargetChooser.NONE_EXCLUDED, ThreadLocalRandom.current())) {
+ *   case Chosen chosen -> send(request, chosen);
+ *   case Choice.NoRoom noRoom -> queue(request);
+ *   case Choice.NoTarget noTarget -> refuse(request);
+ * }
+ * }</pre>
+ */
+public final class TargetChooser {
+
+  /** Excludes no server. */
+  public static final int[] NONE_EXCLUDED = {};
+
+  private static final Choice NO_ROOM = new Choice.NoRoom();
+  private static final Choice NO_TARGET = new Choice.NoTarget();
+  private static final long REPORT_LIFETIME_NANOS = 15_000_000_000L;
+
+  private final TargetTable table;
+  private final RoutingSettings settings;
+  private final Clock clock;
+  private final TargetState state;
+  private final ServerPicker picker;
+
+  /** One object for each route and server. */
+  private final Chosen[][] chosen;
+
+  private volatile TargetView view;
+  private long lastTickNanos;
+
+  private TargetChooser(
+      TargetTable table,
+      LinkBudgets links,
+      RoutingSettings settings,
+      Clock clock,
+      TargetState state) {
+    this.table = table;
+    this.settings = settings;
+    this.clock = clock;
+    this.state = state;
+    this.picker = new ServerPicker(state.cells, settings.choices());
+    this.lastTickNanos = clock.monotonicNanos();
+    this.chosen = ChosenObjects.create(table, links, state);
+    this.view = ViewBuilder.build(state, settings, lastTickNanos);
+  }
+
+  /** Returns a chooser with the default settings. */
+  public static TargetChooser create(TargetTable table, LinkBudgets links, Clock clock) {
+    return create(table, links, RoutingSettings.defaults(), clock);
+  }
+
+  /** Returns a chooser with the given settings. */
+  public static TargetChooser create(
+      TargetTable table, LinkBudgets links, RoutingSettings settings, Clock clock) {
+    TargetState state = TargetStates.create(table, settings, clock.monotonicNanos());
+    return new TargetChooser(table, links, settings, clock, state);
+  }
+
+  /**
+   * Returns a chooser for a changed table; servers that stay keep their counters and limits.
+   *
+   * <p>Requests chosen before the change may be ended on either chooser.
+   */
+  public TargetChooser reconfigured(TargetTable changedTable, LinkBudgets changedLinks) {
+    long now = clock.monotonicNanos();
+    TargetState changed = TargetStates.carryOver(table, state, changedTable, settings, now);
+    return new TargetChooser(changedTable, changedLinks, settings, clock, changed);
+  }
+
+  /** Returns the table in use. */
+  public TargetTable table() {
+    return table;
+  }
+
+  /**
+   * Chooses a server and takes one of its slots.
+   *
+   * @param route row of the route in {@link #table()}
+   * @param excludedServers rows of servers that this request must not use again
+   * @param random source of random numbers of the calling thread
+   */
+  public Choice choose(int route, int[] excludedServers, RandomGenerator random) {
+    return choose(route, table.route(route).priority(), excludedServers, random);
+  }
+
+  /** Chooses as {@link #choose(int, int[], RandomGenerator)} does, with another rank. */
+  public Choice choose(
+      int route, PriorityClass rank, int[] excludedServers, RandomGenerator random) {
+    TargetView now = view;
+    int service = table.serviceOfRoute(route);
+    Pool[] pools = table.pools()[service];
+    boolean anyInUse = false;
+    for (int pool = 0; pool < pools.length; pool++) {
+      int room = now.poolLimit()[service][pool];
+      if (room == 0 || !picker.anyLeft(now, pools[pool], excludedServers)) {
+        continue;
+      }
+      if (anyInUse && pools[pool].remote() && !now.spillOpen()[service]) {
+        break;
+      }
+      anyInUse = true;
+      Chosen found =
+          chooseIn(now, route, service, pool, ceiling(room, rank), excludedServers, random);
+      if (found != null) {
+        return found;
+      }
+      if (rank != PriorityClass.BULK) {
+        state.poolCells[service][pool].addNoRoom();
+      }
+    }
+    return anyInUse ? NO_ROOM : NO_TARGET;
+  }
+
+  /** Ends a request that got its whole answer. */
+  public void onAnswered(Chosen ended, long latencyNanos) {
+    ended.cell().answered(latencyNanos);
+    endInPool(ended);
+  }
+
+  /** Ends a request that the server failed: a broken connection, a 5xx answer or a timeout. */
+  public void onFailed(Chosen ended) {
+    ended.cell().failed();
+    endInPool(ended);
+  }
+
+  /** Ends a request that the server refused to run for lack of room (429 or 503). */
+  public void onShed(Chosen ended) {
+    ended.cell().shed(clock.monotonicNanos());
+    ended.pool().addShed();
+    endInPool(ended);
+  }
+
+  /** Ends a request that says nothing about the server, such as one that its caller cancelled. */
+  public void onCancelled(Chosen ended) {
+    ended.cell().cancelled();
+    endInPool(ended);
+  }
+
+  /** Takes in what a server reports about itself; reports only lower trust, and only for a time. */
+  public void onReport(TargetReport report) {
+    for (int server = 0; server < table.servers().size(); server++) {
+      if (table.servers().get(server).name().equals(report.server())) {
+        applyReport(server, report);
+        return;
+      }
+    }
+  }
+
+  /** Runs all systems over the tables once and publishes the result to the traffic threads. */
+  public void tick() {
+    long now = clock.monotonicNanos();
+    long elapsedNanos = now - lastTickNanos;
+    lastTickNanos = now;
+    LimitSystem.run(state, settings, elapsedNanos);
+    EjectionSystem.run(state, settings, now);
+    SpillSystem.run(state, settings, localLimits(), elapsedNanos);
+    view = ViewBuilder.build(state, settings, now);
+  }
+
+  /** Returns the requests of this instance in flight at a server. */
+  public int inFlight(int server) {
+    return state.cells[server].inFlight();
+  }
+
+  /** Returns the requests that this instance may have in flight at a server; 0 if not in use. */
+  public int limit(int server) {
+    return view.limit()[server];
+  }
+
+  /** Returns whether a server is ejected for its failures. */
+  public boolean isEjected(int server) {
+    return state.ejected[server];
+  }
+
+  /** Returns whether a service uses other regions now. */
+  public boolean isSpilling(int service) {
+    return view.spillOpen()[service];
+  }
+
+  private Chosen chooseIn(
+      TargetView now,
+      int route,
+      int service,
+      int pool,
+      int ceiling,
+      int[] excluded,
+      RandomGenerator random) {
+    PoolCell cell = state.poolCells[service][pool];
+    if (!cell.tryAcquire(ceiling)) {
+      return null;
+    }
+    Pool row = table.pools()[service][pool];
+    int server = picker.acquire(now, row, excluded, random, clock.monotonicNanos());
+    if (server != ServerPicker.NONE) {
+      Chosen found = chosen[route][server];
+      if (found.tryReserveLink()) {
+        return found;
+      }
+      state.cells[server].cancelled();
+    }
+    cell.release();
+    return null;
+  }
+
+  private int ceiling(int room, PriorityClass rank) {
+    return switch (rank) {
+      case COUNTER -> room;
+      case BROWSE -> (int) Math.ceil(room * settings.browseCeiling());
+      case BULK -> (int) (room * settings.bulkCeiling());
+    };
+  }
+
+  private static void endInPool(Chosen ended) {
+    ended.pool().release();
+    ended.releaseLink();
+  }
+
+  private void applyReport(int server, TargetReport report) {
+    boolean full = report.slotsInUse() >= state.slots[server];
+    if (report.draining()) {
+      state.reportedCap[server] = 0;
+    } else if (!report.healthy()) {
+      state.reportedCap[server] = 1;
+    } else if (full) {
+      state.reportedCap[server] = Math.max(1, (int) state.limit[server]);
+    } else {
+      return;
+    }
+    state.reportExpiresNanos[server] = clock.monotonicNanos() + REPORT_LIFETIME_NANOS;
+  }
+
+  private int[] localLimits() {
+    int[] limits = new int[state.pools.length];
+    for (int service = 0; service < limits.length; service++) {
+      boolean hasLocal = state.pools[service].length > 0 && !state.pools[service][0].remote();
+      limits[service] = hasLocal ? view.poolLimit()[service][0] : 0;
+    }
+    return limits;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/bambooarch/core/routing/internal/EjectionSystem.java
@@ -0,0 +1,103 @@
+package org.bambooarch.core.routing.internal;
+
+import org.bambooarch.core.routing.RoutingSettings;
+
+/**
+ * Takes servers that fail out of use for a while, and never more than a stated share of a service.
+ *
+ * <p>The floor keeps a fault of this instance, such as a cut cable, from ejecting every server.
+ */
+public final class EjectionSystem {
+
+  private static final double MIN_SAMPLES = 8;
+  private static final double FAILURE_SHARE_TO_EJECT = 0.5;
+  private static final int MAX_DOUBLINGS = 3;
+
+  private EjectionSystem() {}
+
+  /** Runs over all services once. */
+  public static void run(TargetState state, RoutingSettings settings, long nowNanos) {
+    for (Pool[] pools : state.pools) {
+      int servers = 0;
+      int ejected = 0;
+      for (Pool pool : pools) {
+        servers += pool.servers().length;
+        ejected += countEjected(state, pool, settings, nowNanos);
+      }
+      int mostEjected = (int) (servers * settings.maxEjectedShare());
+      for (Pool pool : pools) {
+        ejected += ejectFailing(state, pool, settings, nowNanos, mostEjected - ejected);
+      }
+    }
+  }
+
+  private static int countEjected(
+      TargetState state, Pool pool, RoutingSettings settings, long nowNanos) {
+    int ejected = 0;
+    for (int server : pool.servers()) {
+      if (state.ejected[server] && nowNanos - state.ejectedUntilNanos[server] >= 0) {
+        readmit(state, settings, server, nowNanos);
+      }
+      if (state.ejected[server]) {
+        ejected++;
+      }
+    }
+    return ejected;
+  }
+
+  private static void readmit(
+      TargetState state, RoutingSettings settings, int server, long nowNanos) {
+    state.ejected[server] = false;
+    state.slowStartEndsNanos[server] = nowNanos + settings.slowStartNanos();
+    state.limit[server] = 1;
+    state.answeredDecayed[server] = 0;
+    state.failedDecayed[server] = 0;
+    state.cells[server].clearFailedInRow();
+  }
+
+  private static int ejectFailing(
+      TargetState state, Pool pool, RoutingSettings settings, long nowNanos, int room) {
+    int ejected = 0;
+    for (int server : pool.servers()) {
+      if (state.ejected[server]) {
+        continue;
+      }
+      if (!isFailing(state, settings, server, nowNanos)) {
+        forgetEjections(state, server, nowNanos);
+        continue;
+      }
+      if (ejected >= room) {
+        return ejected;
+      }
+      eject(state, settings, server, nowNanos);
+      ejected++;
+    }
+    return ejected;
+  }
+
+  private static boolean isFailing(
+      TargetState state, RoutingSettings settings, int server, long nowNanos) {
+    boolean inSlowStart = nowNanos - state.slowStartEndsNanos[server] < 0;
+    int failuresAllowed = inSlowStart ? 1 : settings.consecutiveFailuresToEject();
+    if (state.cells[server].failedInRow() >= failuresAllowed) {
+      return true;
+    }
+    double samples = state.answeredDecayed[server] + state.failedDecayed[server];
+    return samples >= MIN_SAMPLES
+        && state.failedDecayed[server] >= FAILURE_SHARE_TO_EJECT * samples;
+  }
+
+  private static void eject(
+      TargetState state, RoutingSettings settings, int server, long nowNanos) {
+    int doublings = Math.min(MAX_DOUBLINGS, state.ejections[server]);
+    state.ejected[server] = true;
+    state.ejectedUntilNanos[server] = nowNanos + (settings.ejectionNanos() << doublings);
+    state.ejections[server]++;
+  }
+
+  private static void forgetEjections(TargetState state, int server, long nowNanos) {
+    if (nowNanos - state.slowStartEndsNanos[server] >= 0) {
+      state.ejections[server] = 0;
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/bambooarch/core/routing/internal/SpillSystem.java
@@ -0,0 +1,75 @@
+package org.bambooarch.core.routing.internal;
+
+import org.bambooarch.core.routing.RoutingSettings;
+
+/**
+ * Opens and closes the use of other regions, with hysteresis, and ramps the load sent there.
+ *
+ * <p>Caches in the other region are cold for the load that moves, so its room is opened in steps.
+ */
+public final class SpillSystem {
+
+  /** Part of another region's room that is open when a shift begins. */
+  static final double RAMP_START = 0.25;
+
+  private static final double RAMP_GROWTH_PER_SECOND = 0.4;
+  private static final double RAMP_DECAY_PER_SECOND = 0.05;
+  private static final double RAMP_BACKOFF = 0.8;
+  private static final double RELAXED_SHARE = 0.8;
+  private static final double NANOS_PER_SECOND = 1e9;
+
+  private SpillSystem() {}
+
+  /** Returns the ramp of a pool before any load was sent there. */
+  public static double firstRamp(boolean remote) {
+    return remote ? RAMP_START : 1;
+  }
+
+  /** Runs over all services once; {@code localLimit} is the room of each local pool. */
+  public static void run(
+      TargetState state, RoutingSettings settings, int[] localLimit, long elapsedNanos) {
+    for (int service = 0; service < state.pools.length; service++) {
+      updateSpill(state, settings, service, localLimit[service], elapsedNanos);
+      updateRamps(state, service, elapsedNanos / NANOS_PER_SECOND);
+    }
+  }
+
+  private static void updateSpill(
+      TargetState state, RoutingSettings settings, int service, int localLimit, long elapsed) {
+    if (state.pools[service].length == 0 || state.pools[service][0].remote()) {
+      state.spillOpen[service] = true;
+      return;
+    }
+    PoolCell local = state.poolCells[service][0];
+    if (local.takeNoRoom() > 0 || localLimit == 0) {
+      state.saturatedNanos[service] += elapsed;
+      state.relaxedNanos[service] = 0;
+    } else if (local.inFlight() < RELAXED_SHARE * localLimit) {
+      state.relaxedNanos[service] += elapsed;
+      state.saturatedNanos[service] = 0;
+    }
+    if (localLimit == 0 || state.saturatedNanos[service] >= settings.spillAfterNanos()) {
+      state.spillOpen[service] = true;
+    } else if (state.relaxedNanos[service] >= settings.spillEndsAfterNanos()) {
+      state.spillOpen[service] = false;
+    }
+  }
+
+  private static void updateRamps(TargetState state, int service, double elapsedSeconds) {
+    for (int pool = 0; pool < state.pools[service].length; pool++) {
+      if (!state.pools[service][pool].remote()) {
+        continue;
+      }
+      PoolCell cell = state.poolCells[service][pool];
+      double ramp = state.poolRamp[service][pool];
+      if (cell.takeSheds() > 0) {
+        ramp *= RAMP_BACKOFF;
+      } else if (cell.takeNoRoom() > 0) {
+        ramp += RAMP_GROWTH_PER_SECOND * elapsedSeconds;
+      } else if (cell.inFlight() == 0) {
+        ramp -= RAMP_DECAY_PER_SECOND * elapsedSeconds;
+      }
+      state.poolRamp[service][pool] = Math.max(RAMP_START, Math.min(1, ramp));
+    }
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/bambooarch/core/routing/RandomisedRun.java
@@ -0,0 +1,120 @@
+package org.bambooarch.core.routing;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.bambooarch.core.inventory.DrainRule;
+import org.bambooarch.core.link.LinkBudget;
+import org.bambooarch.core.link.LinkBudgets;
+import org.bambooarch.core.time.ManualClock;
+
+/** A seeded run of one chooser that counts how often an invariant is broken. */
+final class RandomisedRun {
+
+  private static final int STEPS = 20_000;
+  private static final long DRAIN_MILLIS = 2_000;
+  private static final int MOST_EJECTED = 8;
+  private static final DrainRule DRAIN = new DrainRule(DrainRule.Kind.REGION, "kochi");
+
+  final List<String> broken = new ArrayList<>();
+  int chosenCount;
+  private final Random random;
+  private final ManualClock clock = ManualClock.startingAtZero();
+  private final LinkBudgets links;
+  private final List<Chosen> running = new ArrayList<>();
+  private TargetChooser chooser;
+  private boolean draining;
+  private long drainStartMillis;
+  private double failureShare;
+
+  RandomisedRun(long seed, RoutingSettings settings) {
+    random = new Random(seed);
+    links = LinkBudgets.equalShares(Inventories.small(), 10, clock);
+    TargetTable table = TargetTable.from(Inventories.small(), "kochi-a");
+    chooser = TargetChooser.create(table, links, settings, clock);
+  }
+
+  void run() {
+    for (int step = 0; step < STEPS; step++) {
+      step(random.nextInt(100));
+    }
+    while (!running.isEmpty()) {
+      end(running.removeLast());
+    }
+    checkAllReturned();
+  }
+
+  private void step(int dice) {
+    if (dice < 50) {
+      choose();
+    } else if (dice < 90 && !running.isEmpty()) {
+      end(running.remove(random.nextInt(running.size())));
+    } else if (dice < 98) {
+      clock.advanceMillis(50);
+      chooser.tick();
+      checkTables();
+    } else if (dice == 98) {
+      failureShare = random.nextInt(3) == 0 ? 0.9 : 0.02;
+    } else {
+      toggleDrain();
+    }
+  }
+
+  private void choose() {
+    int[] excluded = {random.nextInt(12)};
+    if (chooser.choose(random.nextInt(3), excluded, random) instanceof Chosen chosen) {
+      chosenCount++;
+      running.add(chosen);
+      check(chosen.serverIndex() != excluded[0], "excluded server chosen");
+      check(!chooser.isEjected(chosen.serverIndex()), "ejected server chosen");
+      boolean drained = draining && chosen.server().dataCentre().startsWith("kochi");
+      boolean over = clock.wallMillis() - drainStartMillis >= DRAIN_MILLIS + 50;
+      check(!(drained && over), "drained server chosen");
+    }
+  }
+
+  private void end(Chosen chosen) {
+    double dice = random.nextDouble();
+    if (dice < failureShare) {
+      chooser.onFailed(chosen);
+    } else if (dice < failureShare + 0.05) {
+      chooser.onShed(chosen);
+    } else if (dice < failureShare + 0.08) {
+      chooser.onCancelled(chosen);
+    } else {
+      chooser.onAnswered(chosen, 20_000_000L);
+    }
+  }
+
+  private void toggleDrain() {
+    draining = !draining;
+    drainStartMillis = clock.wallMillis();
+    var inventory = draining ? Inventories.small(DRAIN) : Inventories.small();
+    chooser = chooser.reconfigured(TargetTable.from(inventory, "kochi-a"), links);
+  }
+
+  private void checkTables() {
+    int ejected = 0;
+    for (int server = 0; server < 12; server++) {
+      ejected += chooser.isEjected(server) ? 1 : 0;
+      check(chooser.inFlight(server) <= 5, "more in flight than slots");
+      check(chooser.limit(server) <= 5, "limit above slots");
+    }
+    check(ejected <= MOST_EJECTED, "more servers ejected than the floor allows");
+  }
+
+  private void checkAllReturned() {
+    for (int server = 0; server < 12; server++) {
+      check(chooser.inFlight(server) == 0, "slot not returned");
+    }
+    for (LinkBudget link : links.rows()) {
+      check(link.reservedBytes() == 0, "reservation not returned");
+    }
+  }
+
+  private void check(boolean holds, String what) {
+    if (!holds) {
+      broken.add(what);
+    }
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/bambooarch/core/routing/TargetChooserInvariantTest.java
@@ -0,0 +1,33 @@
+package org.bambooarch.core.routing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class TargetChooserInvariantTest {
+
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10})
+  void should_keep_every_invariant_when_servers_fail_shed_and_drain_at_random(long seed) {
+    // given
+    RandomisedRun run = new RandomisedRun(seed, RoutingSettings.defaults());
+    // when
+    run.run();
+    // then
+    assertThat(run.broken).isEmpty();
+    assertThat(run.chosenCount).isGreaterThan(1_000);
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3})
+  void should_break_the_floor_when_the_floor_is_switched_off(long seed) {
+    // given
+    RandomisedRun run =
+        new RandomisedRun(seed, RoutingSettings.defaults().withMaxEjectedShare(1.0));
+    // when
+    run.run();
+    // then
+    assertThat(run.broken).contains("more servers ejected than the floor allows");
+  }
+}
