Queue by rank and fair turns, and answer look-ups within the links' caps

Cause: requests that find no room were refused at once or in the order of arrival, so one customer's backlog could delay all others; a caller that a look-up sends to another region moves bytes that nobody charged. Conclusion: with fairness off the test's small customer waits behind 40 requests of the large one, with it at most one turn.

--- /dev/null
+++ b/core/src/main/java/org/bambooarch/core/admission/AdmissionSettings.java
@@ -0,0 +1,38 @@
+package org.bambooarch.core.admission;
+
+import org.bambooarch.core.inventory.PriorityClass;
+
+/**
+ * Bounds of a queue.
+ *
+ * @param counterWaitNanos longest wait of an order or counter look-up
+ * @param browseWaitNanos longest wait of browsing
+ * @param bulkWaitNanos longest wait of bulk
+ * @param capacity requests that may wait at once, all classes together
+ * @param isFair whether customers get equal turns by weight; without it the order is by arrival
+ */
+public record AdmissionSettings(
+    long counterWaitNanos, long browseWaitNanos, long bulkWaitNanos, int capacity, boolean isFair) {
+
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+
+  /** Returns the settings in use unless an operator states others. */
+  public static AdmissionSettings defaults() {
+    return new AdmissionSettings(
+        1_000 * NANOS_PER_MILLI, 1_000 * NANOS_PER_MILLI, 10_000 * NANOS_PER_MILLI, 4_096, true);
+  }
+
+  /** Returns the same settings with turns in order of arrival. */
+  public AdmissionSettings withoutFairness() {
+    return new AdmissionSettings(counterWaitNanos, browseWaitNanos, bulkWaitNanos, capacity, false);
+  }
+
+  /** Returns the longest wait of a rank in nanoseconds. */
+  public long maxWaitNanos(PriorityClass rank) {
+    return switch (rank) {
+      case COUNTER -> counterWaitNanos;
+      case BROWSE -> browseWaitNanos;
+      case BULK -> bulkWaitNanos;
+    };
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/bambooarch/core/admission/package-info.java
@@ -0,0 +1,2 @@
+/** Short queues in front of the targets: rank, fairness between customers, and deadlines. */
+package org.bambooarch.core.admission;
--- a/core/src/main/java/org/bambooarch/core/link/LinkBudget.java
+++ b/core/src/main/java/org/bambooarch/core/link/LinkBudget.java
@@ -55,11 +55,15 @@
 
   private volatile long shareBytesPerSecond;
 
+  /** Part of the share that is left after the callers that look-ups sent over the link. */
+  private volatile long usableBytesPerSecond;
+
   /** Creates a budget with no burst saved up. */
   LinkBudget(String fromRegion, String toRegion, long shareBytesPerSecond, Clock clock) {
     this.fromRegion = fromRegion;
     this.toRegion = toRegion;
     this.shareBytesPerSecond = shareBytesPerSecond;
+    this.usableBytesPerSecond = shareBytesPerSecond;
     this.clock = clock;
     long burstNanos = shareBytesPerSecond == 0 ? 0 : burstNanos(shareBytesPerSecond);
     this.nextByteNanos = new AtomicLong(clock.monotonicNanos() + burstNanos);
@@ -97,7 +101,7 @@
    * slow instead of impossible.
    */
   public boolean tryReserve(long expectedBytes) {
-    long share = shareBytesPerSecond;
+    long share = usableBytesPerSecond;
     if (share == 0) {
       return false;
     }
@@ -126,7 +130,7 @@
    * @return bytes granted, from 0 to {@code wantedBytes}
    */
   public long bytesGrantedNow(long wantedBytes, PriorityClass priority) {
-    long share = shareBytesPerSecond;
+    long share = usableBytesPerSecond;
     if (share == 0 || wantedBytes <= 0) {
       return 0;
     }
@@ -149,7 +153,7 @@
 
   /** Charges bytes that moved without a grant; later grants wait until the debt is paid. */
   public void charge(long bytes) {
-    long share = shareBytesPerSecond;
+    long share = usableBytesPerSecond;
     if (share == 0 || bytes <= 0) {
       return;
     }
@@ -161,7 +165,7 @@
 
   /** Returns the time until {@link #bytesGrantedNow} can grant again, in nanoseconds. */
   public long nanosUntilGrant(PriorityClass priority) {
-    long share = shareBytesPerSecond;
+    long share = usableBytesPerSecond;
     if (share == 0) {
       return WINDOW_NANOS;
     }
@@ -172,7 +176,7 @@
 
   /** Returns the free part of the burst, from 0 (in debt) to 1. */
   public double headroom() {
-    long share = shareBytesPerSecond;
+    long share = usableBytesPerSecond;
     if (share == 0) {
       return 0;
     }
@@ -187,16 +191,30 @@
    * perhaps used there a moment ago.
    */
   public void setShareBytesPerSecond(long newShare) {
-    long oldShare = shareBytesPerSecond;
-    if (newShare == oldShare) {
+    long steered = shareBytesPerSecond - usableBytesPerSecond;
+    shareBytesPerSecond = newShare;
+    setUsable(Math.max(0, newShare - steered));
+  }
+
+  /**
+   * Sets aside what callers move over the link by themselves because look-ups sent them there;
+   * called by the control thread only.
+   */
+  public void setSteeredBytesPerSecond(long steered) {
+    setUsable(Math.max(0, shareBytesPerSecond - steered));
+  }
+
+  private void setUsable(long newUsable) {
+    long oldUsable = usableBytesPerSecond;
+    if (newUsable == oldUsable) {
       return;
     }
     long now = clock.monotonicNanos();
-    long availableBytes = oldShare == 0 ? 0 : availableBytes(now, oldShare);
-    shareBytesPerSecond = newShare;
-    if (newShare > 0) {
-      long availableNanos = nanosFor(availableBytes, rate(newShare));
-      long start = now + Math.max(0, burstNanos(newShare) - availableNanos);
+    long availableBytes = oldUsable == 0 ? 0 : availableBytes(now, oldUsable);
+    usableBytesPerSecond = newUsable;
+    if (newUsable > 0) {
+      long availableNanos = nanosFor(availableBytes, rate(newUsable));
+      long start = now + Math.max(0, burstNanos(newUsable) - availableNanos);
       nextByteNanos.updateAndGet(next -> Math.max(next, start));
     }
   }
--- /dev/null
+++ b/core/src/test/java/org/bambooarch/core/admission/AdmissionQueueTest.java
@@ -0,0 +1,147 @@
+package org.bambooarch.core.admission;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.bambooarch.core.inventory.Customer;
+import org.bambooarch.core.inventory.PriorityClass;
+import org.bambooarch.core.request.NotRun;
+import org.bambooarch.core.time.ManualClock;
+import org.junit.jupiter.api.Test;
+
+class AdmissionQueueTest {
+
+  private static final int SMALL = 0;
+  private static final int LARGE = 1;
+  private static final long IN_FIVE_SECONDS = 5_000_000_000L;
+  private static final List<Customer> CUSTOMERS =
+      List.of(new Customer("small", 10, 10), new Customer("large", 30, 30));
+
+  private final ManualClock clock = ManualClock.startingAtZero();
+  private final AdmissionQueue<String> queue =
+      AdmissionQueue.create(AdmissionSettings.defaults(), CUSTOMERS, clock);
+
+  @Test
+  void should_dispatch_counter_before_browse_before_bulk() {
+    // given
+    queue.offer("bulk", SMALL, PriorityClass.BULK, IN_FIVE_SECONDS);
+    queue.offer("browse", SMALL, PriorityClass.BROWSE, IN_FIVE_SECONDS);
+    queue.offer("counter", SMALL, PriorityClass.COUNTER, IN_FIVE_SECONDS);
+    // when / then
+    assertThat(dispatchOrder(3)).containsExactly("counter", "browse", "bulk");
+  }
+
+  @Test
+  void should_serve_a_customer_in_its_turn_when_another_has_a_backlog() {
+    // given
+    for (int n = 0; n < 40; n++) {
+      queue.offer("large" + n, LARGE, PriorityClass.BROWSE, IN_FIVE_SECONDS);
+    }
+    queue.offer("small", SMALL, PriorityClass.BROWSE, IN_FIVE_SECONDS);
+    // when / then
+    assertThat(dispatchOrder(2)).contains("small");
+  }
+
+  @Test
+  void should_serve_in_order_of_arrival_when_fairness_is_switched_off() {
+    // given
+    AdmissionQueue<String> unfair =
+        AdmissionQueue.create(AdmissionSettings.defaults().withoutFairness(), CUSTOMERS, clock);
+    for (int n = 0; n < 40; n++) {
+      unfair.offer("large" + n, LARGE, PriorityClass.BROWSE, IN_FIVE_SECONDS);
+    }
+    unfair.offer("small", SMALL, PriorityClass.BROWSE, IN_FIVE_SECONDS);
+    // when
+    List<String> order = new ArrayList<>();
+    unfair.dispatch(waiting -> order.add(waiting.request()));
+    // then
+    assertThat(order.indexOf("small")).isEqualTo(40);
+  }
+
+  @Test
+  void should_share_turns_by_weight_when_both_customers_have_a_backlog() {
+    // given
+    for (int n = 0; n < 40; n++) {
+      queue.offer("large" + n, LARGE, PriorityClass.BROWSE, IN_FIVE_SECONDS);
+      queue.offer("small" + n, SMALL, PriorityClass.BROWSE, IN_FIVE_SECONDS);
+    }
+    // when
+    List<String> order = dispatchOrder(40);
+    // then
+    assertThat(order.stream().filter(name -> name.startsWith("small")).count()).isBetween(9L, 11L);
+  }
+
+  @Test
+  void should_refuse_at_once_with_a_time_to_return_when_the_deadline_cannot_be_met() {
+    // given
+    for (int n = 0; n < 50; n++) {
+      queue.offer("large" + n, LARGE, PriorityClass.COUNTER, IN_FIVE_SECONDS);
+    }
+    // when
+    Offer offer = queue.offer("late", LARGE, PriorityClass.COUNTER, 10_000_000L);
+    // then
+    assertThat(offer)
+        .isInstanceOfSatisfying(
+            Offer.Refused.class,
+            refused -> {
+              assertThat(refused.refusal().reason()).isEqualTo(NotRun.Reason.DEADLINE);
+              assertThat(refused.refusal().retryAfterMillis().orElseThrow()).isPositive();
+            });
+  }
+
+  @Test
+  void should_refuse_only_the_customer_whose_backlog_is_long() {
+    // given
+    while (queue.offer("large", LARGE, PriorityClass.BROWSE, IN_FIVE_SECONDS)
+        instanceof Offer.Queued) {
+      assertThat(queue.size()).isLessThan(1_000);
+    }
+    // when / then
+    assertThat(queue.offer("small", SMALL, PriorityClass.BROWSE, IN_FIVE_SECONDS))
+        .isInstanceOf(Offer.Queued.class);
+  }
+
+  @Test
+  void should_give_back_a_request_that_waited_in_vain() {
+    // given
+    queue.offer("waits", SMALL, PriorityClass.COUNTER, IN_FIVE_SECONDS);
+    // when
+    clock.advanceMillis(999);
+    List<Waiting<String>> early = queue.expire();
+    clock.advanceMillis(1);
+    List<Waiting<String>> expired = queue.expire();
+    // then
+    assertThat(early).isEmpty();
+    assertThat(expired).extracting(Waiting::request).containsExactly("waits");
+    assertThat(queue.refusalOf(expired.getFirst()).reason()).isEqualTo(NotRun.Reason.NO_ROOM);
+    assertThat(queue.size()).isZero();
+  }
+
+  @Test
+  void should_forget_a_request_when_its_caller_has_gone() {
+    // given
+    queue.offer("gone", SMALL, PriorityClass.COUNTER, IN_FIVE_SECONDS);
+    // when / then
+    assertThat(queue.cancel("gone")).isTrue();
+    assertThat(queue.cancel("gone")).isFalse();
+    assertThat(dispatchOrder(1)).isEmpty();
+  }
+
+  @Test
+  void should_raise_bulk_to_browse_when_its_wall_clock_deadline_is_near() {
+    // given
+    long finishBy = BulkRank.RISE_MILLIS + 1;
+    // when / then
+    assertThat(BulkRank.now(PriorityClass.BULK, finishBy, 0)).isEqualTo(PriorityClass.BULK);
+    assertThat(BulkRank.now(PriorityClass.BULK, finishBy, 1)).isEqualTo(PriorityClass.BROWSE);
+    assertThat(BulkRank.now(PriorityClass.BULK, BulkRank.NO_DEADLINE, 1))
+        .isEqualTo(PriorityClass.BULK);
+  }
+
+  private List<String> dispatchOrder(int most) {
+    List<String> order = new ArrayList<>();
+    queue.dispatch(waiting -> order.size() < most && order.add(waiting.request()));
+    return order;
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/bambooarch/core/routing/LookupPolicyTest.java
@@ -0,0 +1,99 @@
+package org.bambooarch.core.routing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.bambooarch.core.inventory.Inventory;
+import org.bambooarch.core.inventory.PriorityClass;
+import org.bambooarch.core.link.LinkBudget;
+import org.bambooarch.core.link.LinkBudgets;
+import org.bambooarch.core.time.ManualClock;
+import org.junit.jupiter.api.Test;
+
+class LookupPolicyTest {
+
+  private static final LookupSettings SETTINGS = new LookupSettings(100_000, 30_000_000_000L, 0.5);
+
+  private final ManualClock clock = ManualClock.startingAtZero();
+  private final Inventory inventory = Inventories.small();
+  private final LinkBudgets links = LinkBudgets.equalShares(inventory, 10, clock);
+  private final LookupPolicy policy = LookupPolicy.create(inventory, links, SETTINGS, clock);
+
+  @Test
+  void should_name_the_nearest_instances_first_and_spread_callers_over_them() {
+    // given
+    policy.update(instances(true));
+    // when / then
+    assertThat(namesFor(0)).startsWith("kochi-a-1", "kochi-a-2", "kochi-b-1");
+    assertThat(namesFor(1)).startsWith("kochi-a-2", "kochi-a-1", "kochi-b-1");
+  }
+
+  @Test
+  void should_leave_an_overloaded_data_centre_for_its_neighbour() {
+    // given
+    List<EntryInstance> instances = new ArrayList<>();
+    instances.add(new EntryInstance("kochi-a-1", "kochi-a", "127.0.0.1", 1, true, 0.99));
+    instances.add(new EntryInstance("kochi-b-1", "kochi-b", "127.0.0.1", 2, true, 0.10));
+    policy.update(instances);
+    // when / then
+    assertThat(namesFor(1).getFirst()).isEqualTo("kochi-b-1");
+  }
+
+  @Test
+  void should_charge_the_link_and_stop_within_its_cap_when_a_region_is_gone() {
+    // given
+    policy.update(instances(false));
+    int sent = 0;
+    // when
+    while (policy.answer("kochi-a", sent) instanceof LookupAnswer.Instances) {
+      sent++;
+    }
+    policy.tick();
+    // then
+    long share = Inventories.CAP_BYTES_PER_SECOND / 10;
+    assertThat(sent).isEqualTo(2 * (int) (share / 2 / SETTINGS.callerBytesPerSecond()));
+    assertThat(largestGrantInOneSecond(links.find("kozhikode", "kochi").orElseThrow()))
+        .isLessThan(share * 55 / 100);
+  }
+
+  @Test
+  void should_send_callers_again_when_earlier_answers_have_expired() {
+    // given
+    policy.update(instances(false));
+    for (int caller = 0; caller < 100; caller++) {
+      policy.answer("kochi-a", caller);
+    }
+    // when
+    clock.advanceMillis(32_000);
+    policy.tick();
+    // then
+    assertThat(policy.answer("kochi-a", 0)).isInstanceOf(LookupAnswer.Instances.class);
+  }
+
+  private long largestGrantInOneSecond(LinkBudget budget) {
+    long before = budget.movedBytes();
+    for (int milli = 0; milli < 1_000; milli++) {
+      clock.advanceMillis(1);
+      budget.bytesGrantedNow(Long.MAX_VALUE, PriorityClass.COUNTER);
+    }
+    return budget.movedBytes() - before;
+  }
+
+  private List<String> namesFor(int caller) {
+    LookupAnswer answer = policy.answer("kochi-a", caller);
+    return ((LookupAnswer.Instances) answer).ordered().stream().map(EntryInstance::name).toList();
+  }
+
+  private static List<EntryInstance> instances(boolean kochiAvailable) {
+    List<EntryInstance> instances = new ArrayList<>();
+    for (String place : List.of("kozhikode-a", "tvm-a", "kochi-b", "kochi-a")) {
+      boolean available = kochiAvailable || !place.startsWith("kochi");
+      for (int n = 2; n >= 1; n--) {
+        instances.add(
+            new EntryInstance(place + "-" + n, place, "127.0.0.1", 8000 + n, available, 0.3));
+      }
+    }
+    return instances;
+  }
+}
