Measure the policy with seeded open-loop experiments

Cause: nothing shows how the choice of servers fares under load and faults. Change: bin/experiment runs the real chooser, queues, budgets and look-ups with small fakes at both deployments' sizes, 11 cases, against round robin, least outstanding, nearest only and static shares, and writes a table, CSV and SVG. Spill now needs a lasting share of requests without room, and sheds of one burst lengthen a server's pause only once.

--- /dev/null
+++ b/bench/src/main/java/org/bambooarch/bench/experiment/BaselineSteering.java
@@ -0,0 +1,181 @@
+package org.bambooarch.bench.experiment;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.bambooarch.core.inventory.Inventory;
+import org.bambooarch.core.link.LinkBudget;
+import org.bambooarch.core.routing.TargetReport;
+import org.bambooarch.core.routing.TargetTable;
+import org.bambooarch.core.time.Clock;
+
+/** Well-known simple ways to choose a server; all skip servers that report themselves unhealthy. */
+final class BaselineSteering implements Steering {
+
+  /** How a baseline chooses. */
+  enum Kind {
+    /** All servers in turn. */
+    ROUND_ROBIN,
+    /** The server with the fewest own requests in flight, anywhere. */
+    LEAST_OUTSTANDING,
+    /** The server of the own region with the fewest own requests in flight. */
+    NEAREST_ONLY,
+    /** A fixed part of each server's slots, nearest regions first. */
+    STATIC_SHARES
+  }
+
+  private static final int NONE = -1;
+  private static final long REPORT_MAX_AGE_NANOS = 3_000_000_000L;
+
+  private final Kind kind;
+  private final String dataCentre;
+  private final int instances;
+  private final long reportLagNanos;
+  private final Clock clock;
+  private final Random random;
+  private final int[] outstanding;
+  private final long[] reportedNanos;
+  private final boolean[] healthy;
+  private final int[] turn;
+  private final Map<String, Integer> rows = new HashMap<>();
+  private TargetTable table;
+  private Inventory inventory;
+
+  BaselineSteering(
+      Kind kind,
+      Deployment deployment,
+      Inventory inventory,
+      String dataCentre,
+      long reportLagNanos,
+      Clock clock,
+      Random random) {
+    this.kind = kind;
+    this.dataCentre = dataCentre;
+    this.instances = deployment.instances();
+    this.reportLagNanos = reportLagNanos;
+    this.clock = clock;
+    this.random = random;
+    int servers = inventory.servers().size();
+    this.outstanding = new int[servers];
+    this.reportedNanos = new long[servers];
+    this.healthy = new boolean[servers];
+    this.turn = new int[deployment.services().size()];
+    for (int server = 0; server < servers; server++) {
+      rows.put(inventory.servers().get(server).name(), server);
+      healthy[server] = true;
+      reportedNanos[server] = clock.monotonicNanos();
+    }
+    reconfigure(inventory);
+  }
+
+  @Override
+  public Step place(Request request) {
+    int server = pick(request);
+    if (server == NONE) {
+      return Step.REFUSE;
+    }
+    outstanding[server]++;
+    request.server = server;
+    return Step.SEND;
+  }
+
+  @Override
+  public void ended(Request request, End end, long latencyNanos) {
+    outstanding[request.server]--;
+  }
+
+  @Override
+  public void report(TargetReport report) {
+    int server = rows.get(report.server());
+    healthy[server] = report.healthy();
+    reportedNanos[server] = clock.monotonicNanos();
+  }
+
+  @Override
+  public void reconfigure(Inventory changed) {
+    inventory = changed;
+    table = TargetTable.from(changed, dataCentre);
+  }
+
+  @Override
+  public void tick() {}
+
+  @Override
+  public List<Request> takeReady() {
+    return List.of();
+  }
+
+  @Override
+  public List<Request> takeExpired() {
+    return List.of();
+  }
+
+  @Override
+  public LinkBudget pacer(Request request) {
+    return null;
+  }
+
+  private int pick(Request request) {
+    List<Integer> usable = usable(request);
+    if (usable.isEmpty()) {
+      return NONE;
+    }
+    return switch (kind) {
+      case ROUND_ROBIN -> usable.get(turn[request.service]++ % usable.size());
+      case LEAST_OUTSTANDING, NEAREST_ONLY -> fewestOutstanding(usable);
+      case STATIC_SHARES -> fewestOutstanding(withShareLeft(usable));
+    };
+  }
+
+  private List<Integer> usable(Request request) {
+    List<Integer> usable = new ArrayList<>();
+    for (int server = 0; server < outstanding.length; server++) {
+      var row = table.servers().get(server);
+      boolean isLocal = table.regionOf(row).equals(table.localRegion());
+      boolean isOfService = row.service().equals(table.service(request.service).name());
+      if (isOfService && isUp(server) && (isLocal || kind != Kind.NEAREST_ONLY)) {
+        usable.add(server);
+      }
+    }
+    for (int excluded : request.excludedServers) {
+      usable.remove(Integer.valueOf(excluded));
+    }
+    return usable;
+  }
+
+  private boolean isUp(int server) {
+    long age = clock.monotonicNanos() - reportedNanos[server];
+    boolean isDrained =
+        inventory.drains().stream()
+            .anyMatch(rule -> rule.name().equals(table.regionOf(table.servers().get(server))));
+    return healthy[server] && !isDrained && age < REPORT_MAX_AGE_NANOS + reportLagNanos;
+  }
+
+  /** The nearest servers whose fixed part, at least one slot, is free. */
+  private List<Integer> withShareLeft(List<Integer> usable) {
+    List<Integer> local = new ArrayList<>();
+    List<Integer> other = new ArrayList<>();
+    for (int server : usable) {
+      int share = Math.max(1, table.servers().get(server).slots() / instances);
+      if (outstanding[server] < share) {
+        boolean isLocal = table.regionOf(table.servers().get(server)).equals(table.localRegion());
+        (isLocal ? local : other).add(server);
+      }
+    }
+    return local.isEmpty() ? other : local;
+  }
+
+  private int fewestOutstanding(List<Integer> servers) {
+    int best = NONE;
+    int start = servers.isEmpty() ? 0 : random.nextInt(servers.size());
+    for (int step = 0; step < servers.size(); step++) {
+      int server = servers.get((start + step) % servers.size());
+      if (best == NONE || outstanding[server] < outstanding[best]) {
+        best = server;
+      }
+    }
+    return best;
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/bambooarch/bench/experiment/Deployment.java
@@ -0,0 +1,152 @@
+package org.bambooarch.bench.experiment;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.bambooarch.core.inventory.Customer;
+import org.bambooarch.core.inventory.DataCentre;
+import org.bambooarch.core.inventory.DrainRule;
+import org.bambooarch.core.inventory.Inventory;
+import org.bambooarch.core.inventory.Link;
+import org.bambooarch.core.inventory.PriorityClass;
+import org.bambooarch.core.inventory.Region;
+import org.bambooarch.core.inventory.Route;
+import org.bambooarch.core.inventory.Server;
+import org.bambooarch.core.inventory.Service;
+
+/**
+ * The sizes of one deployment.
+ *
+ * @param name name used on the command line
+ * @param regions names of the regions
+ * @param services names of the services
+ * @param instances number of entry instances
+ * @param fewestSlots slots of the smallest server; sizes run over three values
+ * @param regionDelayMicros one-way delay between regions
+ * @param clientDelayMicros one-way delay between a caller and an instance of its region
+ * @param linkBytesPerSecond cap of each direction of each region pair
+ */
+record Deployment(
+    String name,
+    List<String> regions,
+    List<String> services,
+    int instances,
+    int fewestSlots,
+    long regionDelayMicros,
+    long clientDelayMicros,
+    long linkBytesPerSecond) {
+
+  static final int SERVERS_PER_SERVICE = 12;
+  static final int SLOT_SIZES = 3;
+  static final double[] DEMAND_SHARES = {0.30, 0.25, 0.12, 0.10, 0.08, 0.06, 0.05, 0.04};
+
+  /** A customer's declared rate as a multiple of its demand at the stated peak. */
+  private static final double RATE_OVER_DEMAND = 1.6;
+
+  private static final long BITS_PER_BYTE = 8;
+
+  static Deployment swatchnet() {
+    return new Deployment(
+        "swatchnet",
+        List.of("kochi", "tvm", "kozhikode"),
+        List.of("catalogue", "order-desk", "dye-lot-ledger"),
+        10,
+        4,
+        55_000,
+        1_000,
+        4_000_000_000L / BITS_PER_BYTE);
+  }
+
+  static Deployment blueMahoe() {
+    return new Deployment(
+        "blue-mahoe",
+        List.of("kingston", "montego", "mandeville"),
+        List.of("code-search", "assignment-ledger", "concordance-reader"),
+        9,
+        3,
+        20_000,
+        8_000,
+        280_000_000L / BITS_PER_BYTE);
+  }
+
+  static List<Deployment> all() {
+    return List.of(swatchnet(), blueMahoe());
+  }
+
+  /** Returns the data centres, two for each region. */
+  List<DataCentre> dataCentres() {
+    List<DataCentre> all = new ArrayList<>();
+    for (String region : regions) {
+      all.add(new DataCentre(region + "-a", region));
+      all.add(new DataCentre(region + "-b", region));
+    }
+    return all;
+  }
+
+  /** Returns the slots of all servers together. */
+  int totalSlots() {
+    int perService = SERVERS_PER_SERVICE * (fewestSlots + SLOT_SIZES / 2);
+    return services.size() * perService;
+  }
+
+  /** Returns the requests per second that keep all slots busy. */
+  double capacityPerSecond() {
+    return totalSlots() / Traffic.meanServiceSeconds();
+  }
+
+  Inventory inventory(double peakLoad, DrainRule... drains) {
+    return new Inventory(
+        regions.stream().map(Region::new).toList(),
+        dataCentres(),
+        links(),
+        services.stream().map(service -> new Service(service, Traffic.routes())).toList(),
+        servers(),
+        customers(peakLoad),
+        List.of(),
+        List.of(drains));
+  }
+
+  private List<Link> links() {
+    List<Link> links = new ArrayList<>();
+    for (String from : regions) {
+      for (String to : regions) {
+        if (!from.equals(to)) {
+          links.add(new Link(from, to, linkBytesPerSecond, regionDelayMicros));
+        }
+      }
+    }
+    return links;
+  }
+
+  private List<Server> servers() {
+    List<Server> servers = new ArrayList<>();
+    List<DataCentre> places = dataCentres();
+    for (String service : services) {
+      for (int n = 0; n < SERVERS_PER_SERVICE; n++) {
+        String place = places.get(n % places.size()).name();
+        int slots = fewestSlots + n % SLOT_SIZES;
+        String name = service + "-" + place + "-" + n;
+        servers.add(new Server(name, service, place, "127.0.0.1", 9_000 + n, slots, 360));
+      }
+    }
+    return servers;
+  }
+
+  private List<Customer> customers(double peakLoad) {
+    List<Customer> customers = new ArrayList<>();
+    for (int n = 0; n < DEMAND_SHARES.length; n++) {
+      double rate = RATE_OVER_DEMAND * peakLoad * capacityPerSecond() * DEMAND_SHARES[n];
+      customers.add(new Customer("customer-" + n, rate, (long) Math.ceil(rate)));
+    }
+    return customers;
+  }
+
+  /** Returns the highest rank first. */
+  static PriorityClass rankOf(int route) {
+    return Traffic.routes().get(route).priority();
+  }
+
+  /** Returns a route by its place inside a service. */
+  static Route routeAt(int route) {
+    return Traffic.routes().get(route);
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/bambooarch/bench/experiment/Experiment.java
@@ -0,0 +1,45 @@
+package org.bambooarch.bench.experiment;
+
+import java.util.List;
+
+/** All policies on the same cases, with the same seed. */
+final class Experiment {
+
+  private final Deployment deployment;
+  private final List<Scenario> scenarios;
+  private final long seed;
+  private final ResultTable table = new ResultTable();
+  private final SvgPlot unservedPlot;
+  private final SvgPlot latencyPlot;
+
+  Experiment(Deployment deployment, List<Scenario> scenarios, long seed) {
+    this.deployment = deployment;
+    this.scenarios = scenarios;
+    this.seed = seed;
+    unservedPlot = new SvgPlot(deployment.name() + ": unserved requests of the worst customer, %");
+    latencyPlot = new SvgPlot(deployment.name() + ": interactive p99 of the worst customer, ms");
+  }
+
+  void run() {
+    for (Scenario scenario : scenarios) {
+      for (Policy policy : Policy.values()) {
+        Results results = new Simulation(deployment, scenario, policy, seed).run();
+        table.add(scenario, policy, results);
+        unservedPlot.add(scenario.name(), policy, results.worstUnservedPercent());
+        latencyPlot.add(scenario.name(), policy, results.worstCustomerMillis(-1));
+      }
+    }
+  }
+
+  ResultTable table() {
+    return table;
+  }
+
+  SvgPlot unservedPlot() {
+    return unservedPlot;
+  }
+
+  SvgPlot latencyPlot() {
+    return latencyPlot;
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/bambooarch/bench/experiment/ExperimentMain.java
@@ -0,0 +1,56 @@
+package org.bambooarch.bench.experiment;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+
+/**
+ * Runs experiments and writes a table, a CSV file and plots.
+ *
+ * <p>Arguments: the name of a case or {@code all}, then optionally a seed and the folder for files.
+ */
+public final class ExperimentMain {
+
+  private static final long DEFAULT_SEED = 1;
+
+  private ExperimentMain() {}
+
+  /** Runs the program. */
+  public static void main(String[] args) throws IOException {
+    String name = args.length > 0 ? args[0] : "all";
+    long seed = args.length > 1 ? Long.parseLong(args[1]) : DEFAULT_SEED;
+    Path folder = Path.of(args.length > 2 ? args[2] : "build/experiments");
+    PrintStream out = new PrintStream(System.out, true, StandardCharsets.UTF_8);
+    List<Scenario> scenarios = scenariosNamed(name);
+    if (scenarios.isEmpty()) {
+      out.println("no such case: " + name + "; cases: all " + names());
+      System.exit(2);
+    }
+    Files.createDirectories(folder);
+    for (Deployment deployment : Deployment.all()) {
+      Experiment experiment = new Experiment(deployment, scenarios, seed);
+      experiment.run();
+      String file = deployment.name() + "-" + name;
+      Files.writeString(folder.resolve(file + ".csv"), experiment.table().csv());
+      Files.writeString(folder.resolve(file + ".md"), experiment.table().markdown());
+      Files.writeString(folder.resolve(file + "-unserved.svg"), experiment.unservedPlot().svg());
+      Files.writeString(folder.resolve(file + "-latency.svg"), experiment.latencyPlot().svg());
+      out.println(deployment.name() + ", seed " + seed);
+      out.println(experiment.table().markdown());
+    }
+    out.println("files: " + folder);
+  }
+
+  private static List<Scenario> scenariosNamed(String name) {
+    return Scenario.all().stream()
+        .filter(scenario -> name.equals("all") || scenario.name().equals(name))
+        .toList();
+  }
+
+  private static String names() {
+    return String.join(" ", Scenario.all().stream().map(Scenario::name).toList());
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/bambooarch/bench/experiment/LibrarySteering.java
@@ -0,0 +1,156 @@
+package org.bambooarch.bench.experiment;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.bambooarch.core.admission.AdmissionQueue;
+import org.bambooarch.core.admission.AdmissionSettings;
+import org.bambooarch.core.admission.BulkRank;
+import org.bambooarch.core.admission.Offer;
+import org.bambooarch.core.admission.Waiting;
+import org.bambooarch.core.inventory.Inventory;
+import org.bambooarch.core.inventory.PriorityClass;
+import org.bambooarch.core.link.LinkBudget;
+import org.bambooarch.core.link.LinkBudgets;
+import org.bambooarch.core.routing.Choice;
+import org.bambooarch.core.routing.Chosen;
+import org.bambooarch.core.routing.TargetChooser;
+import org.bambooarch.core.routing.TargetReport;
+import org.bambooarch.core.routing.TargetTable;
+import org.bambooarch.core.time.Clock;
+
+/** The decision library, wired as an entry instance wires it. */
+final class LibrarySteering implements Steering {
+
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+  private static final long DUE_IN_MILLIS = 10 * 60 * 1_000L;
+
+  private final String dataCentre;
+  private final int instances;
+  private final Clock clock;
+  private final Random random;
+  private final boolean bulkIsDue;
+  private final List<AdmissionQueue<Request>> queues = new ArrayList<>();
+  private final List<Request> ready = new ArrayList<>();
+  private final List<Request> expired = new ArrayList<>();
+  private LinkBudgets links;
+  private TargetChooser chooser;
+
+  LibrarySteering(
+      Deployment deployment,
+      Inventory inventory,
+      String dataCentre,
+      boolean bulkIsDue,
+      Clock clock,
+      Random random) {
+    this.dataCentre = dataCentre;
+    this.instances = deployment.instances();
+    this.clock = clock;
+    this.random = random;
+    this.bulkIsDue = bulkIsDue;
+    this.links = LinkBudgets.equalShares(inventory, instances, clock);
+    this.chooser = TargetChooser.create(TargetTable.from(inventory, dataCentre), links, clock);
+    for (int service = 0; service < inventory.services().size(); service++) {
+      queues.add(AdmissionQueue.create(AdmissionSettings.defaults(), inventory.customers(), clock));
+    }
+  }
+
+  LinkBudgets links() {
+    return links;
+  }
+
+  @Override
+  public Step place(Request request) {
+    AdmissionQueue<Request> queue = queues.get(request.service);
+    PriorityClass rank = rankOf(request);
+    if (!queue.hasWaitingUpTo(rank) && tryChoose(request)) {
+      queue.onDispatchedDirectly();
+      return Step.SEND;
+    }
+    long timeoutNanos = Deployment.routeAt(request.route).timeoutMillis() * NANOS_PER_MILLI;
+    Offer offer =
+        queue.offer(request, request.customer, rank, request.bornNanos + timeoutNanos / 2);
+    return offer instanceof Offer.Queued ? Step.WAIT : Step.REFUSE;
+  }
+
+  @Override
+  public void ended(Request request, End end, long latencyNanos) {
+    if (end == End.ANSWERED) {
+      chooser.onAnswered(request.chosen, latencyNanos);
+    } else if (end == End.FAILED) {
+      chooser.onFailed(request.chosen);
+    } else {
+      chooser.onShed(request.chosen);
+    }
+    dispatch(queues.get(request.service));
+  }
+
+  @Override
+  public void report(TargetReport report) {
+    chooser.onReport(report);
+  }
+
+  @Override
+  public void reconfigure(Inventory inventory) {
+    links = links.reconfigured(inventory, instances);
+    chooser = chooser.reconfigured(TargetTable.from(inventory, dataCentre), links);
+  }
+
+  @Override
+  public void tick() {
+    chooser.tick();
+    for (AdmissionQueue<Request> queue : queues) {
+      for (Waiting<Request> waiting : queue.expire()) {
+        expired.add(waiting.request());
+      }
+      dispatch(queue);
+    }
+  }
+
+  @Override
+  public List<Request> takeReady() {
+    List<Request> taken = List.copyOf(ready);
+    ready.clear();
+    return taken;
+  }
+
+  @Override
+  public List<Request> takeExpired() {
+    List<Request> taken = List.copyOf(expired);
+    expired.clear();
+    return taken;
+  }
+
+  @Override
+  public LinkBudget pacer(Request request) {
+    return request.chosen.answerLink().orElse(null);
+  }
+
+  private void dispatch(AdmissionQueue<Request> queue) {
+    queue.dispatch(
+        waiting -> {
+          if (!tryChoose(waiting.request())) {
+            return false;
+          }
+          ready.add(waiting.request());
+          return true;
+        });
+  }
+
+  private boolean tryChoose(Request request) {
+    Choice choice =
+        chooser.choose(request.routeRow(), rankOf(request), request.excludedServers, random);
+    if (choice instanceof Chosen chosen) {
+      request.chosen = chosen;
+      request.server = chosen.serverIndex();
+      return true;
+    }
+    return false;
+  }
+
+  private PriorityClass rankOf(Request request) {
+    long now = clock.wallMillis();
+    long finishBy = bulkIsDue ? now + DUE_IN_MILLIS : BulkRank.NO_DEADLINE;
+    return BulkRank.now(request.declaredRank(), finishBy, now);
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/bambooarch/bench/experiment/LinkMeter.java
@@ -0,0 +1,52 @@
+package org.bambooarch.bench.experiment;
+
+/** Counts the bytes on one direction of a link in bins, and the windows over the cap. */
+final class LinkMeter {
+
+  private static final long BIN_NANOS = 10_000_000L;
+  private static final int BINS_IN_WINDOW = 10;
+  private static final double NANOS_PER_SECOND = 1e9;
+
+  private final long[] bins;
+  private final double windowCapBytes;
+
+  LinkMeter(long durationNanos, long capBytesPerSecond) {
+    bins = new long[(int) (durationNanos / BIN_NANOS) + 1];
+    windowCapBytes = capBytesPerSecond * BIN_NANOS * BINS_IN_WINDOW / NANOS_PER_SECOND;
+  }
+
+  void add(long atNanos, long bytes) {
+    int bin = (int) (atNanos / BIN_NANOS);
+    if (bin < bins.length) {
+      bins[bin] += bytes;
+    }
+  }
+
+  /** Returns the number of windows of 100 ms with more bytes than the cap allows. */
+  int windowsOverCap() {
+    int over = 0;
+    for (int start = 0; start + BINS_IN_WINDOW <= bins.length; start++) {
+      if (windowBytes(start) > windowCapBytes) {
+        over++;
+      }
+    }
+    return over;
+  }
+
+  /** Returns the fullest window as a part of the cap. */
+  double peakShare() {
+    double most = 0;
+    for (int start = 0; start + BINS_IN_WINDOW <= bins.length; start++) {
+      most = Math.max(most, windowBytes(start) / windowCapBytes);
+    }
+    return most;
+  }
+
+  private double windowBytes(int start) {
+    double sum = 0;
+    for (int bin = start; bin < start + BINS_IN_WINDOW; bin++) {
+      sum += bins[bin];
+    }
+    return sum;
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/bambooarch/bench/experiment/Policy.java
@@ -0,0 +1,21 @@
+package org.bambooarch.bench.experiment;
+
+import java.util.Locale;
+
+/** The policies that an experiment compares. */
+enum Policy {
+  BAMBOOARCH,
+  ROUND_ROBIN,
+  LEAST_OUTSTANDING,
+  NEAREST_ONLY,
+  STATIC_SHARES;
+
+  /** Returns the name in tables. */
+  String label() {
+    return name().toLowerCase(Locale.ROOT).replace('_', '-');
+  }
+
+  boolean isOurs() {
+    return this == BAMBOOARCH;
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/bambooarch/bench/experiment/Request.java
@@ -0,0 +1,52 @@
+package org.bambooarch.bench.experiment;
+
+import java.util.Arrays;
+import org.bambooarch.core.inventory.PriorityClass;
+import org.bambooarch.core.routing.Chosen;
+import org.bambooarch.core.routing.TargetChooser;
+
+/** One request of an experiment on its way. */
+final class Request {
+
+  final int customer;
+  final int service;
+  final int route;
+  final int clientRegion;
+  final long bornNanos;
+  int[] excludedServers = TargetChooser.NONE_EXCLUDED;
+  int attempts;
+  int failures;
+  long sentNanos;
+  int server;
+  Chosen chosen;
+
+  Request(int customer, int service, int route, int clientRegion, long bornNanos) {
+    this.customer = customer;
+    this.service = service;
+    this.route = route;
+    this.clientRegion = clientRegion;
+    this.bornNanos = bornNanos;
+  }
+
+  /** Returns the row of the route over all services. */
+  int routeRow() {
+    return service * Traffic.routes().size() + route;
+  }
+
+  PriorityClass declaredRank() {
+    return Deployment.rankOf(route);
+  }
+
+  boolean isIdempotent() {
+    return Deployment.routeAt(route).idempotent();
+  }
+
+  long answerBytes() {
+    return Deployment.routeAt(route).expectedAnswerBytes();
+  }
+
+  void exclude(int row) {
+    excludedServers = Arrays.copyOf(excludedServers, excludedServers.length + 1);
+    excludedServers[excludedServers.length - 1] = row;
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/bambooarch/bench/experiment/Results.java
@@ -0,0 +1,99 @@
+package org.bambooarch.bench.experiment;
+
+import org.HdrHistogram.Histogram;
+import org.bambooarch.core.inventory.PriorityClass;
+
+/** What one run measured. */
+final class Results {
+
+  private static final long MAX_MICROS = 120_000_000L;
+  private static final int DIGITS = 3;
+  private static final long NANOS_PER_MICRO = 1_000L;
+  private static final double MICROS_PER_MILLI = 1_000;
+
+  final Histogram[] byRank = new Histogram[PriorityClass.values().length];
+  final Histogram[] interactiveByCustomer;
+  final long[] offered;
+  final long[] refused;
+  final long[] failed;
+  long unreachable;
+  long attempts;
+  long sheds;
+  int windowsOverCap;
+  double peakLinkShare;
+  double peakRegionShare;
+  double drainSeconds = Double.NaN;
+
+  Results(int customers) {
+    offered = new long[customers];
+    refused = new long[customers];
+    failed = new long[customers];
+    interactiveByCustomer = new Histogram[customers];
+    for (int rank = 0; rank < byRank.length; rank++) {
+      byRank[rank] = new Histogram(MAX_MICROS, DIGITS);
+    }
+    for (int customer = 0; customer < customers; customer++) {
+      interactiveByCustomer[customer] = new Histogram(MAX_MICROS, DIGITS);
+    }
+  }
+
+  void answered(Request request, long nowNanos) {
+    long micros = Math.min(MAX_MICROS, (nowNanos - request.bornNanos) / NANOS_PER_MICRO);
+    byRank[request.declaredRank().ordinal()].recordValue(micros);
+    if (request.declaredRank() != PriorityClass.BULK) {
+      interactiveByCustomer[request.customer].recordValue(micros);
+    }
+  }
+
+  double millis(PriorityClass rank, double percentile) {
+    return byRank[rank.ordinal()].getValueAtPercentile(percentile) / MICROS_PER_MILLI;
+  }
+
+  /** Returns the interactive p99 of the customer that fares worst, without the given one. */
+  double worstCustomerMillis(int withoutCustomer) {
+    double worst = 0;
+    for (int customer = 0; customer < interactiveByCustomer.length; customer++) {
+      if (customer != withoutCustomer) {
+        double p99 = interactiveByCustomer[customer].getValueAtPercentile(99);
+        worst = Math.max(worst, p99 / MICROS_PER_MILLI);
+      }
+    }
+    return worst;
+  }
+
+  /** Returns the percentage of requests within their rate that were refused as not run. */
+  double refusedPercent() {
+    return percent(sum(refused), sum(offered));
+  }
+
+  /** Returns the percentage of requests within their rate whose outcome was lost. */
+  double failedPercent() {
+    return percent(sum(failed), sum(offered));
+  }
+
+  /** Returns the percentage of unserved requests of the customer that fares worst. */
+  double worstUnservedPercent() {
+    double worst = 0;
+    for (int customer = 0; customer < offered.length; customer++) {
+      worst = Math.max(worst, percent(refused[customer] + failed[customer], offered[customer]));
+    }
+    return worst;
+  }
+
+  /** Returns the percentage of attempts that a server refused for lack of slots. */
+  double shedPercent() {
+    return percent(sheds, attempts);
+  }
+
+  private static long sum(long[] values) {
+    long sum = 0;
+    for (long value : values) {
+      sum += value;
+    }
+    return sum;
+  }
+
+  private static double percent(long part, long whole) {
+    return whole == 0 ? 0 : 100.0 * part / whole;
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/bambooarch/bench/experiment/Scenario.java
@@ -0,0 +1,75 @@
+package org.bambooarch.bench.experiment;
+
+import java.util.List;
+
+/**
+ * One case of an experiment.
+ *
+ * @param name name used on the command line
+ * @param load demand as a part of the capacity of all servers
+ * @param bulkFactor bulk requests as a multiple of the ordinary mix
+ * @param bulkIsDue whether bulk must finish within the next minutes
+ * @param aggressorFactor demand of one customer as a multiple of its ordinary demand
+ * @param reportLagSeconds age of a report when it arrives
+ * @param faults what goes wrong
+ */
+record Scenario(
+    String name,
+    double load,
+    double bulkFactor,
+    boolean bulkIsDue,
+    double aggressorFactor,
+    int reportLagSeconds,
+    List<Fault> faults) {
+
+  static final double ORDINARY_LOAD = 0.45;
+
+  /** Peak that all regions together bear, and of which two regions can carry 93%. */
+  static final double PEAK_LOAD = 0.62;
+
+  /** Something that goes wrong at a second and ends at another one. */
+  sealed interface Fault {
+    int startSecond();
+
+    int endSecond();
+
+    /** All servers and instances of the first region die, and return with cold caches. */
+    record RegionDown(int startSecond, int endSecond) implements Fault {}
+
+    /** The first region is drained by an operator. */
+    record Drain(int startSecond, int endSecond) implements Fault {}
+
+    /** Half of the first region's servers take many times as long. */
+    record SlowServers(int startSecond, int endSecond) implements Fault {}
+
+    /** Some servers fail every request, and all servers report that they are idle and healthy. */
+    record LyingReports(int startSecond, int endSecond) implements Fault {}
+  }
+
+  static List<Scenario> all() {
+    return List.of(
+        of("ordinary-day", ORDINARY_LOAD),
+        of("peak", 0.75),
+        new Scenario("declarations-deadline", PEAK_LOAD, 3, true, 1, 1, List.of()),
+        new Scenario("aggressor", PEAK_LOAD, 1, false, 5, 1, List.of()),
+        of("region-down", PEAK_LOAD, new Fault.RegionDown(8, 18)),
+        of("planned-drain", PEAK_LOAD, new Fault.Drain(8, 18)),
+        new Scenario(
+            "lagging-reports", PEAK_LOAD, 1, false, 1, 10, List.of(new Fault.SlowServers(8, 18))),
+        of("lying-reports", PEAK_LOAD, new Fault.LyingReports(8, 18)),
+        of("slow-servers", PEAK_LOAD, new Fault.SlowServers(8, 18)),
+        new Scenario(
+            "region-down-and-aggressor",
+            PEAK_LOAD,
+            1,
+            false,
+            5,
+            1,
+            List.of(new Fault.RegionDown(8, 18))),
+        of("drain-and-slow", PEAK_LOAD, new Fault.Drain(8, 18), new Fault.SlowServers(10, 20)));
+  }
+
+  static Scenario of(String name, double load, Fault... faults) {
+    return new Scenario(name, load, 1, false, 1, 1, List.of(faults));
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/bambooarch/bench/experiment/Steering.java
@@ -0,0 +1,47 @@
+package org.bambooarch.bench.experiment;
+
+import java.util.List;
+import org.bambooarch.core.inventory.Inventory;
+import org.bambooarch.core.link.LinkBudget;
+import org.bambooarch.core.routing.TargetReport;
+
+/** The decisions of one instance: ours or a baseline. */
+sealed interface Steering permits LibrarySteering, BaselineSteering {
+
+  /** What becomes of a request that asks for a server. */
+  enum Step {
+    /** {@link Request#server} was set and one of its slots is taken. */
+    SEND,
+    /** The request waits and comes back through {@link #takeReady()}. */
+    WAIT,
+    /** The request is refused now. */
+    REFUSE
+  }
+
+  /** How one attempt ended. */
+  enum End {
+    ANSWERED,
+    FAILED,
+    SHED
+  }
+
+  Step place(Request request);
+
+  void ended(Request request, End end, long latencyNanos);
+
+  void report(TargetReport report);
+
+  void reconfigure(Inventory inventory);
+
+  /** Runs the systems of the control thread. */
+  void tick();
+
+  /** Returns requests whose wait has ended with a server. */
+  List<Request> takeReady();
+
+  /** Returns requests that waited in vain. */
+  List<Request> takeExpired();
+
+  /** Returns the budget that paces an answer, or null if nothing paces it. */
+  LinkBudget pacer(Request request);
+}
--- a/core/src/main/java/org/bambooarch/core/routing/TargetChooser.java
+++ b/core/src/main/java/org/bambooarch/core/routing/TargetChooser.java
@@ -128,6 +128,7 @@
       Chosen found =
           chooseIn(now, route, service, pool, ceiling(room, rank), excludedServers, random);
       if (found != null) {
+        state.poolCells[service][pool].addChosen();
         return found;
       }
       if (rank != PriorityClass.BULK) {
--- a/core/src/main/java/org/bambooarch/core/routing/internal/PoolCell.java
+++ b/core/src/main/java/org/bambooarch/core/routing/internal/PoolCell.java
@@ -8,6 +8,7 @@
   private final boolean remote;
   private final AtomicInteger inFlight = new AtomicInteger();
   private final AtomicInteger noRoom = new AtomicInteger();
+  private final AtomicInteger chosen = new AtomicInteger();
   private final AtomicInteger sheds = new AtomicInteger();
 
   /** Creates a cell; remote says whether the region is another one than this instance's. */
@@ -43,6 +44,16 @@
     return inFlight.get();
   }
 
+  /** Counts a request that was given a server here. */
+  public void addChosen() {
+    chosen.incrementAndGet();
+  }
+
+  /** Returns and clears the requests that were given a server. */
+  public int takeChosen() {
+    return chosen.getAndSet(0);
+  }
+
   /** Counts a request that found no room here. */
   public void addNoRoom() {
     noRoom.incrementAndGet();
--- a/core/src/main/java/org/bambooarch/core/routing/internal/ServerCell.java
+++ b/core/src/main/java/org/bambooarch/core/routing/internal/ServerCell.java
@@ -76,10 +76,13 @@
   /** Ends a request that the server refused to run; the server is left alone for a moment. */
   public void shed(long nowNanos) {
     sheds.incrementAndGet();
+    inFlight.decrementAndGet();
+    if (isPaused(nowNanos)) {
+      return;
+    }
     int doublings = Math.min(MAX_SHED_DOUBLINGS, shedsInRow.getAndIncrement());
     pausedUntilNanos = nowNanos + (FIRST_SHED_PAUSE_NANOS << doublings);
     paused = true;
-    inFlight.decrementAndGet();
   }
 
   /** Ends a request that says nothing about the server, such as one that its caller cancelled. */
--- a/core/src/main/java/org/bambooarch/core/routing/internal/SpillSystem.java
+++ b/core/src/main/java/org/bambooarch/core/routing/internal/SpillSystem.java
@@ -16,6 +16,7 @@
   private static final double RAMP_DECAY_PER_SECOND = 0.05;
   private static final double RAMP_BACKOFF = 0.8;
   private static final double RELAXED_SHARE = 0.8;
+  private static final double SATURATED_NO_ROOM_SHARE = 0.3;
   private static final double NANOS_PER_SECOND = 1e9;
 
   private SpillSystem() {}
@@ -41,12 +42,15 @@
       return;
     }
     PoolCell local = state.poolCells[service][0];
-    if (local.takeNoRoom() > 0 || localLimit == 0) {
+    int noRoom = local.takeNoRoom();
+    int chosen = local.takeChosen();
+    if (noRoom > SATURATED_NO_ROOM_SHARE * (noRoom + chosen)) {
       state.saturatedNanos[service] += elapsed;
       state.relaxedNanos[service] = 0;
-    } else if (local.inFlight() < RELAXED_SHARE * localLimit) {
-      state.relaxedNanos[service] += elapsed;
+    } else {
       state.saturatedNanos[service] = 0;
+      boolean isRelaxed = local.inFlight() < RELAXED_SHARE * localLimit;
+      state.relaxedNanos[service] = isRelaxed ? state.relaxedNanos[service] + elapsed : 0;
     }
     if (localLimit == 0 || state.saturatedNanos[service] >= settings.spillAfterNanos()) {
       state.spillOpen[service] = true;
