--- a/entry/src/main/java/org/bambooarch/entry/EntryInstance.java
+++ b/entry/src/main/java/org/bambooarch/entry/EntryInstance.java
@@ -10,7 +10,14 @@
 import org.bambooarch.entry.control.ControlLoop;
 import org.bambooarch.entry.control.FleetView;
 import org.bambooarch.entry.lookup.LookupService;
+import org.bambooarch.entry.operators.EntryMetrics;
+import org.bambooarch.entry.operators.InstancePages;
+import org.bambooarch.entry.operators.MeteredService;
+import org.bambooarch.entry.operators.OperatorsServer;
+import org.bambooarch.entry.operators.Readiness;
 import org.bambooarch.entry.request.ForwardService;
+import org.bambooarch.entry.shutdown.GracefulShutdown;
+import org.bambooarch.entry.shutdown.InFlightRequests;
 import org.bambooarch.platform.InstanceRecord;
 import org.bambooarch.platform.PlatformException;
 import org.bambooarch.platform.http.HttpPlatform;
@@ -28,15 +35,24 @@
 public final class EntryInstance implements AutoCloseable {
 
   private static final int MAX_HEADER_BYTES = 32 * 1024;
+  private static final long LIST_LAG_MILLIS = 5_000;
   private static final int MAX_HTTP1_LINE_BYTES = 8 * 1024;
 
   private final EntrySettings settings;
+  private final Clock clock;
   private final HttpPlatform platform;
   private final ControlLoop control;
+  private final EntryMetrics metrics = new EntryMetrics();
+  private final InFlightRequests inFlight = new InFlightRequests();
+  private final GracefulShutdown shutdown;
   private final Server server;
+  private final OperatorsServer operators;
+  private volatile boolean stopping;
 
   private EntryInstance(EntrySettings settings, Clock clock) {
     this.settings = settings;
+    this.clock = clock;
+    this.shutdown = GracefulShutdown.of(new ShutdownSteps(), clock);
     this.platform =
         HttpPlatform.at(
             settings.platformUri(), Duration.ofMillis(settings.platformTimeoutMillis()));
@@ -52,9 +68,14 @@
             .service(LookupService.PATH, new LookupService(control::view, settings.dataCentre()))
             .service(
                 "prefix:/",
-                new ForwardService(
-                    control::view, settings.dataCentre(), ThreadLocalRandom::current))
+                MeteredService.around(
+                    new ForwardService(
+                        control::view, settings.dataCentre(), ThreadLocalRandom::current),
+                    metrics))
+            .decorator(inFlight.countingDecorator())
             .build();
+    this.operators =
+        InstancePages.serverFor(settings, control::view, this::readiness, inFlight::count, metrics);
   }
 
   /**
@@ -67,16 +88,18 @@
     try {
       instance.control.start();
       instance.server.start().join();
+      instance.operators.start();
       instance.platform.announce(instance.record(false));
     } catch (PlatformException e) {
       instance.close();
       throw e;
     }
     Logger.info(
-        "event=started instance={} dataCentre={} callersPort={}",
+        "event=started instance={} dataCentre={} callersPort={} operatorsPort={}",
         settings.name(),
         settings.dataCentre(),
-        instance.callersPort());
+        instance.callersPort(),
+        instance.operatorsPort());
     return instance;
   }
 
@@ -85,18 +108,84 @@
     return server.activeLocalPort();
   }
 
+  /** Returns the port for operators. */
+  public int operatorsPort() {
+    return operators.port();
+  }
+
   /** Returns what the instance knows of the fleet at this moment. */
   public FleetView view() {
     return control.view();
   }
 
+  /**
+   * Stops without cutting a request: announces leaving, outlasts look-up answers, finishes.
+   *
+   * @param bound after this time whatever still runs is ended
+   */
+  public void stopGracefully(Duration bound) {
+    shutdown.run(clock.monotonicNanos() + bound.toNanos());
+  }
+
+  /** Ends the waiting of {@link #stopGracefully(Duration)}, as a second signal does. */
+  public void stopNow() {
+    shutdown.stopNow();
+  }
+
+  /** Stops at once; requests that run are cut. */
   @Override
   public void close() {
+    stopping = true;
+    inFlight.cancelAll();
     control.close();
     server.stop().join();
+    operators.close();
     Logger.info("event=stopped instance={}", settings.name());
   }
 
+  private Readiness readiness() {
+    if (stopping) {
+      return new Readiness.NotReady("the instance is stopping");
+    }
+    if (control.view().config().version() == 0) {
+      return new Readiness.NotReady("no configuration is in force yet; apply an inventory");
+    }
+    return new Readiness.Ready();
+  }
+
+  private final class ShutdownSteps implements GracefulShutdown.Steps {
+
+    @Override
+    public void announceLeaving() {
+      stopping = true;
+      Thread.startVirtualThread(EntryInstance.this::tellPlatformThatLeaving);
+    }
+
+    @Override
+    public long lookupsValidMillis() {
+      return LookupService.TIME_TO_LIVE_MILLIS + LIST_LAG_MILLIS;
+    }
+
+    @Override
+    public void finishRequests(long deadlineNanos) {
+      boolean finished = inFlight.finish(deadlineNanos, clock);
+      Logger.info("event=requests-finished all={} cut={}", finished, inFlight.count());
+    }
+
+    @Override
+    public void stop() {
+      close();
+    }
+  }
+
+  private void tellPlatformThatLeaving() {
+    try {
+      platform.announce(record(true));
+    } catch (PlatformException e) {
+      Logger.warn("event=leaving-not-announced reason=\"{}\"", e.getMessage());
+    }
+  }
+
   private InstanceRecord record(boolean leaving) {
     return new InstanceRecord(
         settings.name(),
@@ -104,6 +193,7 @@
         settings.host(),
         callersPort(),
         settings.peersPort(),
+        operatorsPort(),
         leaving);
   }
 
--- a/inventory/src/main/java/org/bambooarch/inventory/InventoryJson.java
+++ b/inventory/src/main/java/org/bambooarch/inventory/InventoryJson.java
@@ -1,34 +1,34 @@
 package org.bambooarch.inventory;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.DeserializationFeature;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.json.JsonMapper;
 import org.bambooarch.core.inventory.Inventory;
+import org.bambooarch.inventory.internal.read.CanonicalReader;
+import org.bambooarch.inventory.internal.write.CanonicalWriter;
 
-/** Writes an inventory as one JSON document and reads it back. */
+/**
+ * The canonical JSON text of an inventory, as it is stored and spread.
+ *
+ * <p>Reading checks the shape of the text but not its meaning: meaning is checked once, before a
+ * change is accepted, so that no instance ever rejects an accepted configuration.
+ *
+ * <pre>{@code
+ * Inventory same = InventoryJson.read(InventoryJson.write(inventory));
+ * }</pre>
+ */
 public final class InventoryJson {
 
-  private static final ObjectMapper MAPPER =
-      JsonMapper.builder().enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES).build();
-
   private InventoryJson() {}
 
-  /** Returns the inventory as JSON. */
+  /** Returns the canonical text; equal inventories have equal texts. */
   public static String write(Inventory inventory) {
-    try {
-      return MAPPER.writeValueAsString(inventory);
-    } catch (JsonProcessingException e) {
-      throw new IllegalStateException("records of the inventory are always writable", e);
-    }
+    return CanonicalWriter.write(inventory);
   }
 
-  /** Reads an inventory from JSON. */
+  /**
+   * Reads the canonical text.
+   *
+   * @throws InvalidInventoryException with every finding about the shape of the text
+   */
   public static Inventory read(String json) throws InvalidInventoryException {
-    try {
-      return MAPPER.readValue(json, Inventory.class);
-    } catch (JsonProcessingException e) {
-      throw new InvalidInventoryException(e.getMessage(), e);
-    }
+    return CanonicalReader.read(json);
   }
 }
