Leave key freshness to the spread of the configuration

Cause: core.config.ConfigSpread decides until when keys are fresh, and core.key.KeyFreshness decided the same a second time.

--- a/core/src/main/java/org/bambooarch/core/key/KeyCheck.java
+++ b/core/src/main/java/org/bambooarch/core/key/KeyCheck.java
@@ -54,12 +54,12 @@
   }
 
   /**
-   * Extends the deadline after the published version was confirmed to be the newest.
+   * Extends the deadline until which keys are accepted; an earlier deadline changes nothing.
    *
-   * @param asOfNanos monotonic moment at which it was the newest: when the question was sent
+   * @param untilNanos monotonic moment, at most {@link #FRESHNESS_NANOS} after the one at which the
+   *     published version was known to be the newest
    */
-  public synchronized void confirm(long asOfNanos) {
-    long untilNanos = asOfNanos + FRESHNESS_NANOS;
+  public synchronized void keepFreshUntil(long untilNanos) {
     if (untilNanos - snapshot.freshUntilNanos() > 0) {
       snapshot = new Snapshot(snapshot.version(), snapshot.keysByDigest(), untilNanos);
     }
