Run requests of the entry by the library's decisions

Change: entry.request checks keys against a stored deadline, cleans headers, collects bodies up to 8 MiB, records non-idempotent requests in batched commits, keeps long answers in the object store, retries by RequestLife, checks the echoed request id and the length, relays answers with back-pressure, cuts them when the key is withdrawn or nothing moves, and reports deaths of targets. Conclusion: servers are still chosen at random; the chooser of core.routing and the peers' messages are to be wired to TargetSelection and CrashReports.

--- a/core/src/main/java/org/bambooarch/core/request/RequestLife.java
+++ b/core/src/main/java/org/bambooarch/core/request/RequestLife.java
@@ -115,6 +115,11 @@
     return sendOrRefuse();
   }
 
+  /** Returns the refusal of a request that an earlier attempt may have run. */
+  public OutcomeUnknown lostOutcome() {
+    return lost();
+  }
+
   /** Returns whether a target may have run the request. */
   public boolean mayHaveRun() {
     return sentOnce;
--- a/core/src/main/java/org/bambooarch/core/request/order/OrderRefusals.java
+++ b/core/src/main/java/org/bambooarch/core/request/order/OrderRefusals.java
@@ -34,6 +34,14 @@
         "an earlier send with this Idempotency-Key may have run; its outcome was not recorded");
   }
 
+  /** The request ran, and its recorded answer cannot be read now. */
+  public static OutcomeUnknown answerNotReadable() {
+    return OutcomeUnknown.outcomeUnknown(
+            OutcomeUnknown.Reason.EARLIER_SEND,
+            "an earlier send with this Idempotency-Key was answered; its answer cannot be read now")
+        .retryAfterMillis(STORE_RETRY_AFTER_MILLIS);
+  }
+
   /** The record could not be written in time. */
   public static NotRun storeUnavailable() {
     return NotRun.notRun(
--- a/entry/src/main/java/org/bambooarch/entry/EntryInstance.java
+++ b/entry/src/main/java/org/bambooarch/entry/EntryInstance.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.ThreadLocalRandom;
+import org.bambooarch.core.key.KeyCheck;
 import org.bambooarch.core.time.Clock;
 import org.bambooarch.core.time.SystemClock;
 import org.bambooarch.entry.control.ControlLoop;
@@ -16,6 +17,8 @@
 import org.bambooarch.entry.operators.OperatorsServer;
 import org.bambooarch.entry.operators.Readiness;
 import org.bambooarch.entry.request.ForwardService;
+import org.bambooarch.entry.request.RequestServices;
+import org.bambooarch.entry.request.target.ViewSelection;
 import org.bambooarch.entry.shutdown.GracefulShutdown;
 import org.bambooarch.entry.shutdown.InFlightRequests;
 import org.bambooarch.platform.InstanceRecord;
@@ -35,13 +38,17 @@
 public final class EntryInstance implements AutoCloseable {
 
   private static final int MAX_HEADER_BYTES = 32 * 1024;
+  private static final long CALLER_IDLE_MILLIS = 60_000;
+  private static final long CALLER_PING_MILLIS = 10_000;
   private static final long LIST_LAG_MILLIS = 5_000;
   private static final int MAX_HTTP1_LINE_BYTES = 8 * 1024;
 
   private final EntrySettings settings;
   private final Clock clock;
   private final HttpPlatform platform;
+  private final KeyCheck keyCheck;
   private final ControlLoop control;
+  private final RequestServices requests;
   private final EntryMetrics metrics = new EntryMetrics();
   private final InFlightRequests inFlight = new InFlightRequests();
   private final GracefulShutdown shutdown;
@@ -52,11 +59,21 @@
   private EntryInstance(EntrySettings settings, Clock clock) {
     this.settings = settings;
     this.clock = clock;
+    this.keyCheck = KeyCheck.acceptingNothing(clock);
     this.shutdown = GracefulShutdown.of(new ShutdownSteps(), clock);
     this.platform =
         HttpPlatform.at(
             settings.platformUri(), Duration.ofMillis(settings.platformTimeoutMillis()));
-    this.control = ControlLoop.over(platform, clock);
+    this.control = ControlLoop.over(platform, keyCheck, clock);
+    this.requests =
+        new RequestServices(
+            settings.name(),
+            platform,
+            keyCheck,
+            new ViewSelection(
+                control::view, settings.dataCentre(), ThreadLocalRandom::current, clock),
+            message -> {},
+            clock);
     this.server =
         Server.builder()
             .http(new InetSocketAddress(settings.host(), settings.callersPort()))
@@ -65,13 +82,12 @@
             .http1MaxInitialLineLength(MAX_HTTP1_LINE_BYTES)
             .maxRequestLength(0)
             .requestTimeoutMillis(0)
+            .idleTimeoutMillis(CALLER_IDLE_MILLIS)
+            .pingIntervalMillis(CALLER_PING_MILLIS)
             .service(LookupService.PATH, new LookupService(control::view, settings.dataCentre()))
             .service(
                 "prefix:/",
-                MeteredService.around(
-                    new ForwardService(
-                        control::view, settings.dataCentre(), ThreadLocalRandom::current),
-                    metrics))
+                MeteredService.around(new ForwardService(control::view, requests), metrics))
             .decorator(inFlight.countingDecorator())
             .build();
     this.operators =
@@ -140,6 +156,7 @@
     control.close();
     server.stop().join();
     operators.close();
+    requests.close();
     Logger.info("event=stopped instance={}", settings.name());
   }
 
--- a/entry/src/main/java/org/bambooarch/entry/control/ControlLoop.java
+++ b/entry/src/main/java/org/bambooarch/entry/control/ControlLoop.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.bambooarch.core.config.ConfigState;
+import org.bambooarch.core.key.KeyCheck;
 import org.bambooarch.core.time.Clock;
 import org.bambooarch.entry.request.RouteTable;
 import org.bambooarch.inventory.InvalidInventoryException;
@@ -24,17 +25,19 @@
   private final Clock clock;
   private final ScheduledExecutorService thread =
       Executors.newSingleThreadScheduledExecutor(Thread.ofPlatform().name("control").factory());
+  private final KeyCheck keyCheck;
   private volatile FleetView view = FleetView.empty();
 
-  private ControlLoop(HttpPlatform platform, Clock clock) {
+  private ControlLoop(HttpPlatform platform, KeyCheck keyCheck, Clock clock) {
+    this.keyCheck = keyCheck;
     this.platform = platform;
     this.repository = new ConfigRepository(platform);
     this.clock = clock;
   }
 
   /** Returns a loop over the platform that is not started yet. */
-  public static ControlLoop over(HttpPlatform platform, Clock clock) {
-    return new ControlLoop(platform, clock);
+  public static ControlLoop over(HttpPlatform platform, KeyCheck keyCheck, Clock clock) {
+    return new ControlLoop(platform, keyCheck, clock);
   }
 
   /**
@@ -74,6 +77,7 @@
 
   private void refresh() throws PlatformException, InvalidInventoryException {
     FleetView before = view;
+    long askedNanos = clock.monotonicNanos();
     ConfigState config = repository.catchUp(before.config());
     List<InstanceRecord> instances = platform.current();
     RouteTable routes =
@@ -81,6 +85,8 @@
             ? before.routes()
             : RouteTable.of(config.inventory());
     view = new FleetView(config, routes, instances);
+    keyCheck.publish(config);
+    keyCheck.keepFreshUntil(askedNanos + KeyCheck.FRESHNESS_NANOS);
     if (config.version() != before.config().version()) {
       Logger.info("event=configuration-in-force version={}", config.version());
     }
--- /dev/null
+++ b/entry/src/main/java/org/bambooarch/entry/request/AnswerHeaders.java
@@ -0,0 +1,50 @@
+package org.bambooarch.entry.request;
+
+import com.linecorp.armeria.common.HttpHeaders;
+import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.common.ResponseHeaders;
+import com.linecorp.armeria.common.ResponseHeadersBuilder;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.bambooarch.core.request.header.HeaderField;
+import org.bambooarch.core.request.header.HeaderRules;
+import org.bambooarch.core.request.order.AnswerHeader;
+
+/** Converts headers between the HTTP library and the header rules. */
+final class AnswerHeaders {
+
+  private static final Set<String> NOT_RECORDED = Set.of("content-length", "date", "server");
+
+  private AnswerHeaders() {}
+
+  static List<HeaderField> fieldsOf(HttpHeaders headers) {
+    List<HeaderField> fields = new ArrayList<>(headers.size());
+    headers.forEach((name, value) -> fields.add(new HeaderField(name.toString(), value)));
+    return fields;
+  }
+
+  static ResponseHeaders towardsCaller(ResponseHeaders received, CallerRequest request) {
+    ResponseHeadersBuilder headers = ResponseHeaders.builder(received.status());
+    for (HeaderField field : HeaderRules.towardsCaller(fieldsOf(received))) {
+      headers.add(field.name(), field.value());
+    }
+    return headers.set(HeaderRules.REQUEST_ID, request.requestId()).build();
+  }
+
+  static List<AnswerHeader> recorded(ResponseHeaders received) {
+    List<AnswerHeader> recorded = new ArrayList<>();
+    for (HeaderField field : HeaderRules.towardsCaller(fieldsOf(received))) {
+      if (!NOT_RECORDED.contains(field.name())) {
+        recorded.add(new AnswerHeader(field.name(), field.value()));
+      }
+    }
+    return recorded;
+  }
+
+  static ResponseHeaders of(int status, List<AnswerHeader> recorded, String requestId) {
+    ResponseHeadersBuilder headers = ResponseHeaders.builder(HttpStatus.valueOf(status));
+    recorded.forEach(header -> headers.add(header.name(), header.value()));
+    return headers.set(HeaderRules.REQUEST_ID, requestId).build();
+  }
+}
--- a/entry/src/main/java/org/bambooarch/entry/request/ForwardService.java
+++ b/entry/src/main/java/org/bambooarch/entry/request/ForwardService.java
@@ -1,118 +1,196 @@
 package org.bambooarch.entry.request;
 
-import com.linecorp.armeria.client.WebClient;
-import com.linecorp.armeria.common.HttpHeaderNames;
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpResponse;
-import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.server.HttpService;
 import com.linecorp.armeria.server.ServiceRequestContext;
-import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.UUID;
-import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
-import java.util.random.RandomGenerator;
-import org.bambooarch.core.config.IssuedKey;
-import org.bambooarch.core.inventory.Server;
+import org.bambooarch.core.key.KeyVerdict;
 import org.bambooarch.core.request.NotRun;
+import org.bambooarch.core.request.OutcomeUnknown;
+import org.bambooarch.core.request.header.HeaderField;
+import org.bambooarch.core.request.header.HeaderRules;
+import org.bambooarch.core.request.header.KeyHeader;
+import org.bambooarch.core.request.order.OrderKey;
 import org.bambooarch.entry.control.FleetView;
 import org.bambooarch.entry.request.RouteTable.RouteMatch;
+import org.tinylog.Logger;
 
-/** Carries a caller's request to a target and streams the answer back. */
+/** Carries a caller's request to a target and the answer back. */
 public final class ForwardService implements HttpService {
 
   /** Header with the request id, echoed to the caller. */
-  public static final String REQUEST_ID_HEADER = "x-request-id";
+  public static final String REQUEST_ID_HEADER = HeaderRules.REQUEST_ID;
 
   /** Header that tells a target which customer the request runs for. */
-  public static final String CUSTOMER_HEADER = "x-customer";
+  public static final String CUSTOMER_HEADER = HeaderRules.CUSTOMER;
 
-  private static final String BEARER_PREFIX = "Bearer ";
+  /** The most bytes of a request's body. */
+  public static final int MAX_BODY_BYTES = 8 * 1024 * 1024;
+
+  private static final int SHORTEST_KEY_CHARS = 8;
+  private static final long MAX_DEADLINE_MILLIS = 24L * 60 * 60 * 1000;
+  private static final long NANOS_PER_MILLI = 1_000_000L;
 
   private final Supplier<FleetView> views;
-  private final String localDataCentre;
-  private final Supplier<RandomGenerator> random;
-  private final Map<String, WebClient> clientsByServer = new ConcurrentHashMap<>();
+  private final RequestServices services;
 
   /** Creates the service over published views of the fleet. */
-  public ForwardService(
-      Supplier<FleetView> views, String localDataCentre, Supplier<RandomGenerator> random) {
+  public ForwardService(Supplier<FleetView> views, RequestServices services) {
     this.views = views;
-    this.localDataCentre = localDataCentre;
-    this.random = random;
+    this.services = services;
   }
 
   @Override
   public HttpResponse serve(ServiceRequestContext context, HttpRequest request) {
-    FleetView view = views.get();
-    String requestId = request.headers().get(REQUEST_ID_HEADER, UUID.randomUUID().toString());
-    Optional<RouteMatch> match = view.routes().match(request.method().name(), context.path());
+    String requestId = services.newRequestId();
+    List<HeaderField> headers = AnswerHeaders.fieldsOf(request.headers());
+    Optional<RouteMatch> match =
+        views.get().routes().match(request.method().name(), context.path());
     if (match.isEmpty()) {
       return refuse(NotRun.Reason.NO_ROUTE, "no route matches this method and path", requestId);
     }
-    Optional<String> customer = customerOf(request.headers(), view);
-    if (customer.isEmpty() && !match.get().route().openToAll()) {
-      return refuse(NotRun.Reason.KEY_REJECTED, "no valid key in Authorization", requestId);
+    KeyHeader keyHeader = HeaderRules.findKey(headers);
+    KeyVerdict verdict =
+        keyHeader.key().map(services.keyCheck()::check).orElseGet(KeyVerdict.Rejected::new);
+    boolean open = match.get().route().openToAll() && keyHeader instanceof KeyHeader.Missing;
+    if (!open && !(verdict instanceof KeyVerdict.Accepted)) {
+      return refuse(KeyRefusals.of(verdict), headers, requestId);
     }
-    Optional<Server> server = chooseServer(view, match.get().service());
-    if (server.isEmpty()) {
-      return refuse(NotRun.Reason.NO_TARGET, "no server runs this service", requestId);
+    if (keyHeader.key().filter(key -> isInside(request.path(), key)).isPresent()) {
+      return refuse(NotRun.Reason.BAD_REQUEST, "the path contains the caller's key", requestId);
     }
-    RequestHeaders forwarded =
-        request.headers().toBuilder()
-            .removeAndThen(HttpHeaderNames.AUTHORIZATION)
-            .set(REQUEST_ID_HEADER, requestId)
-            .set(CUSTOMER_HEADER, customer.orElse(""))
-            .build();
-    return clientOf(server.get()).execute(request.withHeaders(forwarded));
-  }
-
-  private static HttpResponse refuse(NotRun.Reason reason, String detail, String requestId) {
-    return ProblemResponses.of(NotRun.notRun(reason, detail), requestId);
+    return admit(request, headers, match.get(), verdict, requestId);
   }
 
-  private static Optional<String> customerOf(RequestHeaders headers, FleetView view) {
-    String authorization = headers.get(HttpHeaderNames.AUTHORIZATION, "");
-    if (!authorization.startsWith(BEARER_PREFIX)) {
-      return Optional.empty();
+  private HttpResponse admit(
+      HttpRequest request,
+      List<HeaderField> headers,
+      RouteMatch match,
+      KeyVerdict verdict,
+      String requestId) {
+    Optional<String> idempotencyKey =
+        match.route().idempotent() ? Optional.empty() : first(headers, HeaderRules.IDEMPOTENCY_KEY);
+    if (idempotencyKey.isPresent() && !OrderKey.isWellFormed(idempotencyKey.get())) {
+      return refuse(
+          NotRun.Reason.BAD_REQUEST,
+          "expected 1 to 128 visible ASCII characters in Idempotency-Key",
+          requestId);
     }
-    String digest = KeyDigests.digestOf(authorization.substring(BEARER_PREFIX.length()));
-    IssuedKey key = view.config().keysByDigest().get(digest);
-    if (key == null || key.withdrawn()) {
-      return Optional.empty();
+    if (request.headers().contentLength() > MAX_BODY_BYTES) {
+      return tooLarge(requestId);
     }
-    return Optional.of(key.customer());
+    long deadlineNanos = services.clock().monotonicNanos() + timeoutMillis(headers, match);
+    CompletableFuture<HttpResponse> reply = new CompletableFuture<>();
+    HttpResponse response = HttpResponse.of(reply);
+    BodyCollector.collect(request, MAX_BODY_BYTES)
+        .whenComplete(
+            (body, failure) -> {
+              if (failure != null) {
+                reply.complete(bodyRefusal(failure, requestId));
+                return;
+              }
+              CallerRequest admitted =
+                  new CallerRequest(
+                      requestId,
+                      match,
+                      verdict instanceof KeyVerdict.Accepted accepted ? accepted.customer() : "",
+                      verdict instanceof KeyVerdict.Accepted accepted
+                          ? Optional.of(accepted.digest())
+                          : Optional.empty(),
+                      idempotencyKey,
+                      request.method().name(),
+                      request.path(),
+                      HeaderRules.towardsTarget(headers),
+                      body,
+                      deadlineNanos);
+              response.whenComplete().exceptionally(cause -> onCallerGone(admitted));
+              Thread.startVirtualThread(() -> reply.complete(run(admitted)));
+            });
+    return response;
   }
 
-  private Optional<Server> chooseServer(FleetView view, String service) {
-    List<Server> local = new ArrayList<>();
-    List<Server> all = new ArrayList<>();
-    for (Server server : view.config().inventory().servers()) {
-      if (!server.service().equals(service)) {
-        continue;
-      }
-      all.add(server);
-      if (server.dataCentre().equals(localDataCentre)) {
-        local.add(server);
+  private static Void onCallerGone(CallerRequest request) {
+    request.onCallerLeft();
+    return null;
+  }
+
+  private HttpResponse run(CallerRequest request) {
+    try {
+      if (!request.isIdempotent() && request.idempotencyKey().isPresent()) {
+        return new OrderRun(services, request, request.idempotencyKey().get()).run();
       }
+      return switch (new TargetRun(services, request, Optional.empty()).run()) {
+        case Ending.Whole(var answer) ->
+            HttpResponse.of(
+                AnswerHeaders.towardsCaller(answer.headers(), request), answer.content());
+        case Ending.Streaming(HttpResponse response) -> response;
+        case Ending.Refused(var refusal) ->
+            ProblemResponses.of(refusal, request.requestId(), false);
+      };
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return failed(request);
+    } catch (RuntimeException e) {
+      Logger.error(e, "event=request-failed requestId={}", request.requestId());
+      return failed(request);
     }
-    List<Server> candidates = local.isEmpty() ? all : local;
-    if (candidates.isEmpty()) {
-      return Optional.empty();
+  }
+
+  /** A failure inside this instance says nothing about the target, so the outcome is unknown. */
+  private static HttpResponse failed(CallerRequest request) {
+    OutcomeUnknown refusal =
+        OutcomeUnknown.outcomeUnknown(
+            OutcomeUnknown.Reason.TARGET_LOST, "this instance failed while it ran the request");
+    return ProblemResponses.of(refusal, request.requestId(), false);
+  }
+
+  private static HttpResponse bodyRefusal(Throwable failure, String requestId) {
+    if (failure instanceof BodyCollector.TooLargeException) {
+      return tooLarge(requestId);
     }
-    return Optional.of(candidates.get(random.get().nextInt(candidates.size())));
+    return refuse(NotRun.Reason.BAD_REQUEST, "the request's body did not arrive whole", requestId);
+  }
+
+  private static HttpResponse tooLarge(String requestId) {
+    return refuse(
+        NotRun.Reason.TOO_LARGE,
+        "expected a body of at most " + MAX_BODY_BYTES + " bytes",
+        requestId);
+  }
+
+  private static HttpResponse refuse(NotRun.Reason reason, String detail, String requestId) {
+    return ProblemResponses.of(NotRun.notRun(reason, detail), requestId, false);
+  }
+
+  private static HttpResponse refuse(NotRun refusal, List<HeaderField> headers, String requestId) {
+    boolean unchecked = first(headers, HeaderRules.IDEMPOTENCY_KEY).isPresent();
+    return ProblemResponses.of(refusal, requestId, unchecked);
+  }
+
+  private static boolean isInside(String path, String key) {
+    return key.length() >= SHORTEST_KEY_CHARS && path.contains(key);
+  }
+
+  private static long timeoutMillis(List<HeaderField> headers, RouteMatch match) {
+    long routeMillis = match.route().timeoutMillis();
+    long askedMillis =
+        first(headers, HeaderRules.DEADLINE).map(ForwardService::parseMillis).orElse(routeMillis);
+    return Math.min(askedMillis, MAX_DEADLINE_MILLIS) * NANOS_PER_MILLI;
+  }
+
+  private static long parseMillis(String value) {
+    boolean isNumber = value.length() <= 9 && value.chars().allMatch(c -> c >= '0' && c <= '9');
+    return isNumber && !value.isEmpty() ? Long.parseLong(value) : 0;
   }
 
-  private WebClient clientOf(Server server) {
-    return clientsByServer.computeIfAbsent(
-        server.host() + ":" + server.port(),
-        authority ->
-            WebClient.builder("h1c://" + authority)
-                .maxResponseLength(0)
-                .responseTimeoutMillis(0)
-                .build());
+  private static Optional<String> first(List<HeaderField> headers, String name) {
+    return headers.stream()
+        .filter(field -> field.name().equals(name))
+        .map(HeaderField::value)
+        .findFirst();
   }
 }
--- /dev/null
+++ b/entry/src/main/java/org/bambooarch/entry/request/KeyRefusals.java
@@ -0,0 +1,30 @@
+package org.bambooarch.entry.request;
+
+import org.bambooarch.core.key.KeyVerdict;
+import org.bambooarch.core.request.NotRun;
+
+/** Creates the refusals that concern keys. */
+final class KeyRefusals {
+
+  private static final long STALE_RETRY_AFTER_MILLIS = 1_000;
+
+  private KeyRefusals() {}
+
+  static NotRun of(KeyVerdict verdict) {
+    return verdict instanceof KeyVerdict.Stale() ? stale() : rejected();
+  }
+
+  static NotRun rejected() {
+    return NotRun.notRun(
+        NotRun.Reason.KEY_REJECTED,
+        "expected one valid key in Authorization (Bearer) or X-Api-Key, got none, several, or one"
+            + " that is not valid");
+  }
+
+  private static NotRun stale() {
+    return NotRun.notRun(
+            NotRun.Reason.KEYS_STALE,
+            "this instance cannot confirm that the key was not withdrawn; use another instance")
+        .retryAfterMillis(STALE_RETRY_AFTER_MILLIS);
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/bambooarch/entry/request/OrderRun.java
@@ -0,0 +1,147 @@
+package org.bambooarch.entry.request;
+
+import com.linecorp.armeria.common.AggregatedHttpResponse;
+import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.HttpResponse;
+import java.util.List;
+import java.util.Optional;
+import org.bambooarch.core.request.NotRun;
+import org.bambooarch.core.request.Refusal;
+import org.bambooarch.core.request.order.AnswerHeader;
+import org.bambooarch.core.request.order.DispatchPermit;
+import org.bambooarch.core.request.order.OrderAttempt;
+import org.bambooarch.core.request.order.OrderKey;
+import org.bambooarch.core.request.order.OrderOwner;
+import org.bambooarch.core.request.order.OrderRefusals;
+import org.bambooarch.core.request.order.OrderState;
+import org.bambooarch.core.request.order.OrderStep;
+import org.bambooarch.core.request.order.OrderTimes;
+import org.bambooarch.core.request.order.RecordedAnswer;
+import org.bambooarch.core.request.order.RequestDigest;
+import org.bambooarch.platform.PlatformException;
+import org.tinylog.Logger;
+
+/** Runs one send of a recorded non-idempotent request; blocks. */
+final class OrderRun {
+
+  private static final long ARCHIVE_BACKOFF_MILLIS = 500;
+
+  private final RequestServices services;
+  private final CallerRequest request;
+  private final OrderKey key;
+  private final OrderOwner owner;
+  private final OrderAttempt attempt;
+
+  OrderRun(RequestServices services, CallerRequest request, String idempotencyKey) {
+    this.services = services;
+    this.request = request;
+    this.key = new OrderKey(request.customer(), idempotencyKey);
+    this.owner = services.newOwner();
+    this.attempt =
+        OrderAttempt.of(
+            key,
+            RequestDigest.of(request.method(), request.pathAndQuery(), request.body()),
+            owner,
+            OrderTimes.until(request.deadlineNanos(), services.clock()),
+            services.clock());
+  }
+
+  HttpResponse run() throws InterruptedException {
+    OrderStep step = attempt.start();
+    while (step instanceof OrderStep.Call call) {
+      step = attempt.on(services.ledger().carryOut(call));
+    }
+    return switch (step) {
+      case OrderStep.Proceed(DispatchPermit permit) -> dispatch(permit);
+      case OrderStep.Replay(RecordedAnswer answer) -> replay(answer);
+      case OrderStep.Refuse(Refusal refusal) -> {
+        releaseIfNotRun(refusal);
+        yield ProblemResponses.of(refusal, request.requestId(), isUnchecked(refusal));
+      }
+      case OrderStep.Closed() -> throw new IllegalStateException("an open attempt is not closed");
+      case OrderStep.Call call -> throw new IllegalStateException("calls are carried out above");
+    };
+  }
+
+  private HttpResponse dispatch(DispatchPermit permit) throws InterruptedException {
+    return switch (new TargetRun(services, request, Optional.of(permit)).run()) {
+      case Ending.Whole(AggregatedHttpResponse answer) -> {
+        inBackground(() -> record(answer));
+        yield HttpResponse.of(
+            AnswerHeaders.towardsCaller(answer.headers(), request), answer.content());
+      }
+      case Ending.Refused(NotRun refusal) -> {
+        releaseIfNotRun(refusal);
+        yield ProblemResponses.of(refusal, request.requestId(), false);
+      }
+      case Ending.Refused(Refusal refusal) -> {
+        inBackground(() -> closeWith(attempt.finish(new OrderState.Unknown())));
+        yield ProblemResponses.of(refusal, request.requestId(), false);
+      }
+      case Ending.Streaming streaming ->
+          throw new IllegalStateException("answers of recorded requests are not streamed");
+    };
+  }
+
+  private HttpResponse replay(RecordedAnswer answer) {
+    try {
+      Optional<byte[]> body = services.archive().bodyOf(answer);
+      if (body.isPresent()) {
+        return HttpResponse.of(
+            AnswerHeaders.of(answer.status(), answer.headers(), request.requestId()),
+            HttpData.wrap(body.get()));
+      }
+    } catch (PlatformException e) {
+      Logger.warn("event=recorded-answer-not-read reason=\"{}\"", e.getMessage());
+    }
+    return ProblemResponses.of(OrderRefusals.answerNotReadable(), request.requestId(), false);
+  }
+
+  private void record(AggregatedHttpResponse answer) throws InterruptedException {
+    List<AnswerHeader> headers = AnswerHeaders.recorded(answer.headers());
+    byte[] body = answer.content().array();
+    while (true) {
+      try {
+        RecordedAnswer recorded =
+            services.archive().keep(key, owner, answer.status().code(), headers, body);
+        closeWith(attempt.finish(new OrderState.Done(recorded)));
+        return;
+      } catch (PlatformException e) {
+        Logger.warn("event=answer-not-kept reason=\"{}\"", e.getMessage());
+        Thread.sleep(ARCHIVE_BACKOFF_MILLIS);
+      }
+    }
+  }
+
+  private void releaseIfNotRun(Refusal refusal) {
+    if (refusal instanceof NotRun) {
+      inBackground(() -> closeWith(attempt.release()));
+    }
+  }
+
+  private void closeWith(OrderStep first) throws InterruptedException {
+    OrderStep step = first;
+    while (step instanceof OrderStep.Call call) {
+      step = attempt.on(services.ledger().carryOut(call));
+    }
+  }
+
+  private static boolean isUnchecked(Refusal refusal) {
+    return refusal instanceof NotRun notRun && notRun.reason() == NotRun.Reason.STORE_UNAVAILABLE;
+  }
+
+  private interface Work {
+    void run() throws InterruptedException;
+  }
+
+  private static void inBackground(Work work) {
+    Thread.startVirtualThread(
+        () -> {
+          try {
+            work.run();
+          } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+          }
+        });
+  }
+}
--- a/entry/src/main/java/org/bambooarch/entry/request/ProblemResponses.java
+++ b/entry/src/main/java/org/bambooarch/entry/request/ProblemResponses.java
@@ -10,6 +10,7 @@
 import org.bambooarch.core.request.NotRun;
 import org.bambooarch.core.request.OutcomeUnknown;
 import org.bambooarch.core.request.Refusal;
+import org.bambooarch.core.request.header.HeaderRules;
 
 /** Writes refusals as problem+json (RFC 9457). */
 public final class ProblemResponses {
@@ -24,6 +25,25 @@
 
   /** Returns the response for a refusal, with the request id echoed. */
   public static HttpResponse of(Refusal refusal, String requestId) {
+    return of(refusal, requestId, false);
+  }
+
+  /**
+   * Returns the response for a refusal.
+   *
+   * @param earlierSendsUnchecked whether an earlier send with the same Idempotency-Key may have run
+   *     although this one did not
+   */
+  public static HttpResponse of(Refusal refusal, String requestId, boolean earlierSendsUnchecked) {
+    HttpResponse response = respond(refusal, requestId);
+    if (!earlierSendsUnchecked) {
+      return response;
+    }
+    return response.mapHeaders(
+        headers -> headers.toBuilder().set(HeaderRules.EARLIER_SENDS, "unchecked").build());
+  }
+
+  private static HttpResponse respond(Refusal refusal, String requestId) {
     return switch (refusal) {
       case NotRun notRun ->
           response(
@@ -37,7 +57,7 @@
               unknown,
               "unknown",
               HttpStatus.valueOf(unknown.reason().httpStatus()),
-              OptionalLong.empty(),
+              unknown.retryAfterMillis(),
               requestId);
     };
   }
--- /dev/null
+++ b/entry/src/main/java/org/bambooarch/entry/request/RequestServices.java
@@ -0,0 +1,117 @@
+package org.bambooarch.entry.request;
+
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import org.bambooarch.core.key.KeyCheck;
+import org.bambooarch.core.request.RetryBudget;
+import org.bambooarch.core.request.crash.CrashMessage;
+import org.bambooarch.core.request.order.OrderOwner;
+import org.bambooarch.core.time.Clock;
+import org.bambooarch.entry.request.crash.CrashReports;
+import org.bambooarch.entry.request.order.AnswerArchive;
+import org.bambooarch.entry.request.order.OrderLedger;
+import org.bambooarch.entry.request.target.TargetClients;
+import org.bambooarch.entry.request.target.TargetExchange;
+import org.bambooarch.entry.request.target.TargetSelection;
+import org.bambooarch.platform.http.HttpPlatform;
+
+/** What all requests of one instance share. */
+public final class RequestServices implements AutoCloseable {
+
+  private final String instance;
+  private final long incarnation = ThreadLocalRandom.current().nextLong(Long.MAX_VALUE);
+  private final AtomicLong nextNumber = new AtomicLong(1);
+  private final Clock clock;
+  private final KeyCheck keyCheck;
+  private final RetryBudget retryBudget = new RetryBudget();
+  private final TargetSelection selection;
+  private final TargetClients clients = new TargetClients();
+  private final TargetExchange exchange;
+  private final OrderLedger ledger;
+  private final AnswerArchive archive;
+  private final CrashReports crashes;
+
+  /**
+   * Creates the services of an instance.
+   *
+   * @param broadcast sends crash reports to the other instances without waiting
+   */
+  public RequestServices(
+      String instance,
+      HttpPlatform platform,
+      KeyCheck keyCheck,
+      TargetSelection selection,
+      Consumer<CrashMessage> broadcast,
+      Clock clock) {
+    this.instance = instance;
+    this.clock = clock;
+    this.keyCheck = keyCheck;
+    this.selection = selection;
+    this.exchange = new TargetExchange(clients, clock);
+    this.ledger = new OrderLedger(platform, clock);
+    this.archive = new AnswerArchive(platform);
+    this.crashes = new CrashReports(platform, broadcast, instance, incarnation, clock);
+  }
+
+  /** Returns the clock. */
+  public Clock clock() {
+    return clock;
+  }
+
+  /** Returns the check of callers' keys. */
+  public KeyCheck keyCheck() {
+    return keyCheck;
+  }
+
+  /** Returns the budget of retries. */
+  public RetryBudget retryBudget() {
+    return retryBudget;
+  }
+
+  /** Returns the choice of servers. */
+  public TargetSelection selection() {
+    return selection;
+  }
+
+  /** Returns the exchanges with servers. */
+  public TargetExchange exchange() {
+    return exchange;
+  }
+
+  /** Returns the records of non-idempotent requests. */
+  public OrderLedger ledger() {
+    return ledger;
+  }
+
+  /** Returns the bodies of recorded answers. */
+  public AnswerArchive archive() {
+    return archive;
+  }
+
+  /** Returns the reports of crashing requests. */
+  public CrashReports crashes() {
+    return crashes;
+  }
+
+  /** Returns an owner that no other send has. */
+  OrderOwner newOwner() {
+    return new OrderOwner(instance, incarnation, nextNumber.getAndIncrement());
+  }
+
+  /** Returns a request id that no other request has. */
+  String newRequestId() {
+    return instance
+        + "-"
+        + Long.toString(incarnation, Character.MAX_RADIX)
+        + "-"
+        + nextNumber.getAndIncrement();
+  }
+
+  @Override
+  public void close() {
+    ledger.close();
+    crashes.close();
+    clients.close();
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/bambooarch/entry/request/order/OrderLedger.java
@@ -0,0 +1,185 @@
+package org.bambooarch.entry.request.order;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.Semaphore;
+import org.bambooarch.core.request.order.OrderStep;
+import org.bambooarch.core.request.order.StoreReply;
+import org.bambooarch.core.request.order.StoredOrder;
+import org.bambooarch.core.time.Clock;
+import org.bambooarch.platform.CommitResult;
+import org.bambooarch.platform.NotAppliedException;
+import org.bambooarch.platform.PlatformException;
+import org.bambooarch.platform.Row;
+import org.bambooarch.platform.TableService;
+import org.bambooarch.platform.UnknownOutcomeException;
+import org.bambooarch.platform.Write;
+import org.tinylog.Logger;
+
+/**
+ * Carries out the store calls of order attempts; writes that wait together share one commit.
+ *
+ * <p>Calls block; make them on a virtual thread.
+ */
+public final class OrderLedger implements AutoCloseable {
+
+  /** Table that holds the recorded requests. */
+  public static final String TABLE = "orders";
+
+  /** The most writes in one commit. */
+  static final int MAX_BATCH = 64;
+
+  /** The most commits under way at once. */
+  static final int MAX_COMMITS = 4;
+
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+
+  private record Waiting(Write write, CompletableFuture<StoreReply> reply) {}
+
+  private final TableService tables;
+  private final Clock clock;
+  private final BlockingQueue<Waiting> queue = new LinkedBlockingQueue<>();
+  private final Semaphore commitSlots = new Semaphore(MAX_COMMITS);
+  private final Thread batcher;
+
+  /** Creates a ledger over the table service and starts its batching thread. */
+  public OrderLedger(TableService tables, Clock clock) {
+    this.tables = tables;
+    this.clock = clock;
+    this.batcher = Thread.ofVirtual().name("order-ledger").start(this::batchForever);
+  }
+
+  /** Carries out a call and waits for the reply. */
+  public StoreReply carryOut(OrderStep.Call call) throws InterruptedException {
+    waitUntil(call.notBeforeNanos());
+    return switch (call) {
+      case OrderStep.Read read -> read(read.key().rowKey());
+      case OrderStep.Insert insert ->
+          commit(Write.insert(TABLE, call.key().rowKey(), OrderRowJson.write(insert.record())));
+      case OrderStep.Replace replace ->
+          commit(
+              new Write.Replace(
+                  TABLE,
+                  call.key().rowKey(),
+                  replace.expectedVersion(),
+                  OrderRowJson.write(replace.record())));
+    };
+  }
+
+  @Override
+  public void close() {
+    batcher.interrupt();
+  }
+
+  private void waitUntil(long notBeforeNanos) throws InterruptedException {
+    long waitMillis = (notBeforeNanos - clock.monotonicNanos()) / NANOS_PER_MILLI;
+    if (waitMillis > 0) {
+      Thread.sleep(waitMillis);
+    }
+  }
+
+  private StoreReply read(String rowKey) {
+    try {
+      Optional<Row> row = tables.read(TABLE, rowKey);
+      return new StoreReply.Found(row.flatMap(OrderLedger::stored));
+    } catch (PlatformException e) {
+      return new StoreReply.Lost();
+    }
+  }
+
+  private StoreReply commit(Write write) throws InterruptedException {
+    Waiting waiting = new Waiting(write, new CompletableFuture<>());
+    queue.put(waiting);
+    return waiting.reply().join();
+  }
+
+  private void batchForever() {
+    try {
+      while (!Thread.currentThread().isInterrupted()) {
+        Waiting first = queue.take();
+        commitSlots.acquire();
+        List<Waiting> batch = new ArrayList<>(List.of(first));
+        queue.drainTo(batch, MAX_BATCH - 1);
+        Thread.startVirtualThread(() -> commitAndRelease(batch));
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void commitAndRelease(List<Waiting> batch) {
+    try {
+      commitBatch(batch);
+    } finally {
+      batch.forEach(waiting -> waiting.reply().complete(new StoreReply.Lost()));
+      commitSlots.release();
+    }
+  }
+
+  private void commitBatch(List<Waiting> batch) {
+    try {
+      switch (tables.commit(batch.stream().map(Waiting::write).toList())) {
+        case CommitResult.Committed(List<Row> rows) -> replyCommitted(batch, rows);
+        case CommitResult.Conflict(List<Row> current) -> splitConflict(batch, current);
+      }
+    } catch (NotAppliedException e) {
+      Logger.warn("event=orders-not-written orders={} reason=\"{}\"", batch.size(), e.getMessage());
+      batch.forEach(waiting -> waiting.reply().complete(new StoreReply.NotApplied()));
+    } catch (UnknownOutcomeException e) {
+      Logger.warn(
+          "event=orders-write-unknown orders={} reason=\"{}\"", batch.size(), e.getMessage());
+    } catch (PlatformException e) {
+      Logger.warn("event=orders-write-failed reason=\"{}\"", e.getMessage());
+    }
+  }
+
+  private static void replyCommitted(List<Waiting> batch, List<Row> rows) {
+    for (int i = 0; i < batch.size(); i++) {
+      batch.get(i).reply().complete(new StoreReply.Committed(rows.get(i).version()));
+    }
+  }
+
+  /** One failed expectation fails the whole commit: answer its order and commit the others. */
+  private void splitConflict(List<Waiting> batch, List<Row> current) {
+    List<Waiting> others = new ArrayList<>();
+    for (Waiting waiting : batch) {
+      Optional<Row> row = rowOf(waiting, current);
+      if (row.isPresent()) {
+        reply(waiting, row.flatMap(OrderLedger::stored));
+      } else {
+        others.add(waiting);
+      }
+    }
+    if (others.isEmpty()) {
+      return;
+    }
+    if (others.size() < batch.size()) {
+      commitBatch(others);
+    } else if (batch.size() == 1) {
+      reply(batch.getFirst(), Optional.empty());
+    } else {
+      others.forEach(waiting -> commitBatch(List.of(waiting)));
+    }
+  }
+
+  private static void reply(Waiting waiting, Optional<StoredOrder> current) {
+    waiting.reply().complete(new StoreReply.Conflict(current));
+  }
+
+  private static Optional<Row> rowOf(Waiting waiting, List<Row> rows) {
+    return rows.stream().filter(row -> row.key().equals(waiting.write().key())).findFirst();
+  }
+
+  private static Optional<StoredOrder> stored(Row row) {
+    try {
+      return Optional.of(new StoredOrder(OrderRowJson.read(row.value()), row.version()));
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("row " + row.table() + "/" + row.key() + " is no JSON", e);
+    }
+  }
+}
