--- /dev/null
+++ b/bench/src/main/java/org/bambooarch/bench/budget/FakeEpochStore.java
@@ -0,0 +1,78 @@
+package org.bambooarch.bench.budget;
+
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.bambooarch.core.budget.ShareEpoch;
+import org.bambooarch.core.budget.ShareEpochStore;
+
+/** One row with compare-and-set, delay, outages and answers that get lost. */
+final class FakeEpochStore {
+
+  private static final long DELAY_NANOS = 30_000_000L;
+
+  private final EventQueue events;
+  private final RandomGenerator random;
+  private Optional<ShareEpoch> row = Optional.empty();
+  private boolean up = true;
+  private double lossRate;
+
+  FakeEpochStore(EventQueue events, RandomGenerator random) {
+    this.events = events;
+    this.random = random;
+  }
+
+  void setUp(boolean up) {
+    this.up = up;
+  }
+
+  void setLossRate(double lossRate) {
+    this.lossRate = lossRate;
+  }
+
+  Optional<ShareEpoch> row() {
+    return row;
+  }
+
+  /** Returns one instance's connection; its answers go to the given consumer. */
+  ShareEpochStore connection(Consumer<ShareEpochStore.Answer> answers) {
+    return new ShareEpochStore() {
+      @Override
+      public void startRead(long startedNanos) {
+        call(answers, () -> new Answer.Read(startedNanos, row));
+      }
+
+      @Override
+      public void startCompareAndSet(long expectedEpoch, ShareEpoch next) {
+        call(answers, () -> compareAndSet(expectedEpoch, next));
+      }
+    };
+  }
+
+  private ShareEpochStore.Answer compareAndSet(long expectedEpoch, ShareEpoch next) {
+    if (row.map(ShareEpoch::number).orElse(0L) != expectedEpoch) {
+      return new ShareEpochStore.Answer.Conflict();
+    }
+    row = Optional.of(next);
+    return new ShareEpochStore.Answer.Written(next);
+  }
+
+  private void call(
+      Consumer<ShareEpochStore.Answer> answers,
+      java.util.function.Supplier<ShareEpochStore.Answer> effect) {
+    if (!up || random.nextDouble() < lossRate) {
+      return;
+    }
+    long delayNanos = DELAY_NANOS + (long) (random.nextDouble() * DELAY_NANOS);
+    events.after(delayNanos, () -> answerLater(answers, effect.get()));
+  }
+
+  private void answerLater(
+      Consumer<ShareEpochStore.Answer> answers, ShareEpochStore.Answer answer) {
+    if (random.nextDouble() < lossRate) {
+      events.after(DELAY_NANOS, () -> answers.accept(new ShareEpochStore.Answer.Unknown()));
+      return;
+    }
+    events.after(DELAY_NANOS, () -> answers.accept(answer));
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/bambooarch/bench/budget/FleetNode.java
@@ -0,0 +1,141 @@
+package org.bambooarch.bench.budget;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.bambooarch.core.budget.BudgetDump;
+import org.bambooarch.core.budget.BudgetMessage;
+import org.bambooarch.core.budget.BudgetResource;
+import org.bambooarch.core.budget.BudgetSettings;
+import org.bambooarch.core.budget.FleetBudgets;
+import org.bambooarch.core.budget.MemberId;
+import org.bambooarch.core.budget.ShareEpochStore;
+import org.bambooarch.core.time.Clock;
+
+/** One instance of the trial: its budgets, and whether its process runs, stands still or died. */
+final class FleetNode {
+
+  private final String name;
+  private final EventQueue events;
+  private final FleetBudgets budgets;
+  private final List<Runnable> backlog = new ArrayList<>();
+  private boolean paused;
+  private boolean dead;
+  private boolean started;
+
+  FleetNode(
+      MemberId id,
+      int region,
+      BudgetSettings settings,
+      List<BudgetResource> resources,
+      EventQueue events,
+      FakeNetwork network,
+      FakeEpochStore store,
+      long seed) {
+    this.name = id.name();
+    this.events = events;
+    SplittableRandom random = new SplittableRandom(seed);
+    Clock clock = shiftedClock(events, random.nextLong());
+    this.budgets =
+        FleetBudgets.starting(
+            id,
+            settings,
+            clock,
+            random,
+            (to, message) -> network.send(name, to, (BudgetMessage) message),
+            store.connection(this::onStoreAnswer));
+    budgets.configure(resources);
+    network.attach(name, region, this::onMessage);
+    events.after(random.nextLong(FleetBudgets.TICK_NANOS), this::tick);
+  }
+
+  private static Clock shiftedClock(EventQueue events, long shiftNanos) {
+    return new Clock() {
+      @Override
+      public long monotonicNanos() {
+        return events.nowNanos() + shiftNanos;
+      }
+
+      @Override
+      public long wallMillis() {
+        return events.nowNanos() / 1_000_000;
+      }
+    };
+  }
+
+  private void tick() {
+    if (dead) {
+      return;
+    }
+    if (paused) {
+      backlog.add(this::tick);
+      return;
+    }
+    budgets.tick();
+    started = started || budgets.isReady();
+    events.after(FleetBudgets.TICK_NANOS, this::tick);
+  }
+
+  private void onMessage(BudgetMessage message) {
+    runOrKeep(() -> budgets.onMessage(message));
+  }
+
+  private void onStoreAnswer(ShareEpochStore.Answer answer) {
+    runOrKeep(() -> budgets.onStoreAnswer(answer));
+  }
+
+  private void runOrKeep(Runnable action) {
+    if (paused) {
+      backlog.add(action);
+    } else if (!dead) {
+      action.run();
+    }
+  }
+
+  void pause() {
+    paused = true;
+  }
+
+  /** Lets the process run on: its traffic threads may be faster than its control thread. */
+  void resume() {
+    paused = false;
+    List<Runnable> kept = List.copyOf(backlog);
+    backlog.clear();
+    events.after(
+        FleetBudgets.TICK_NANOS,
+        () -> {
+          for (Runnable action : kept) {
+            runOrKeep(action);
+          }
+        });
+  }
+
+  void kill() {
+    dead = true;
+  }
+
+  void leave() {
+    budgets.leave();
+  }
+
+  /** Returns whether callers are sent here; a fresh process serves once it is ready. */
+  boolean serves() {
+    return started && !paused && !dead;
+  }
+
+  boolean isDead() {
+    return dead;
+  }
+
+  String name() {
+    return name;
+  }
+
+  FleetBudgets budgets() {
+    return budgets;
+  }
+
+  BudgetDump dump() {
+    return budgets.dump();
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/bambooarch/bench/budget/InvariantException.java
@@ -0,0 +1,11 @@
+package org.bambooarch.bench.budget;
+
+/** A rule that must always hold was broken in a trial. */
+final class InvariantException extends RuntimeException {
+
+  private static final long serialVersionUID = 1L;
+
+  InvariantException(String message) {
+    super(message);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/bambooarch/core/budget/BudgetResource.java
@@ -0,0 +1,28 @@
+package org.bambooarch.core.budget;
+
+import org.bambooarch.core.inventory.Customer;
+
+/**
+ * A resource that all instances together may use up to a rate and a burst.
+ *
+ * @param name unique name over all kinds of resources
+ * @param quantaPerSecond sustained rate in quanta, such as requests or bytes, per second
+ * @param burstQuanta quanta that may be used at once
+ */
+public record BudgetResource(String name, double quantaPerSecond, long burstQuanta) {
+
+  /** Checks the limits. */
+  public BudgetResource {
+    if (!(quantaPerSecond >= 0) || burstQuanta < 1) {
+      throw new IllegalArgumentException(
+          "expected a rate >= 0 and a burst >= 1 but was %s and %d at resource %s"
+              .formatted(quantaPerSecond, burstQuanta, name));
+    }
+  }
+
+  /** Returns the request budget of a customer, under the customer's name. */
+  public static BudgetResource ofCustomer(Customer customer) {
+    long burst = Math.max(1, customer.burstRequests());
+    return new BudgetResource(customer.name(), customer.requestsPerSecond(), burst);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/bambooarch/core/budget/ShareEpoch.java
@@ -0,0 +1,169 @@
+package org.bambooarch.core.budget;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * The members that hold shares, as stored in one row of the platform's table.
+ *
+ * <p>Each member's nominal holding of a resource is its base plus its extra. What it really holds
+ * is the nominal holding plus all that it received less all that it sent.
+ *
+ * @param number number of the epoch, one higher after each change
+ * @param proposal unique identifier of the change, to recognise it when the answer was lost
+ * @param members the present members
+ * @param former members of recent epochs, latest last
+ */
+public record ShareEpoch(long number, String proposal, List<Member> members, List<Former> former) {
+
+  /** Former members that a row keeps; a longer absence blocks the reclaim until it is over. */
+  public static final int FORMER_LIMIT = 256;
+
+  /**
+   * A present member.
+   *
+   * @param id the member
+   * @param joinedEpoch number of its first epoch
+   * @param stopped whether a later run of the same instance has replaced it
+   * @param baseUnits granted part of the rate and capacity of every resource
+   * @param extras granted parts that differ from the base
+   * @param settled what it received from former members less what it sent to them
+   */
+  public record Member(
+      MemberId id,
+      long joinedEpoch,
+      boolean stopped,
+      long baseUnits,
+      List<ShareBalance> extras,
+      List<ShareBalance> settled) {
+
+    /** Copies the lists. */
+    public Member {
+      extras = List.copyOf(extras);
+      settled = List.copyOf(settled);
+    }
+
+    private Member markedStopped() {
+      return new Member(id, joinedEpoch, true, baseUnits, extras, settled);
+    }
+
+    private Member granted(long moreBaseUnits, List<ShareBalance> more) {
+      return new Member(
+          id,
+          joinedEpoch,
+          stopped,
+          baseUnits + moreBaseUnits,
+          ShareBalance.sum(extras, more),
+          settled);
+    }
+
+    private Member settled(List<ShareBalance> sentLessReceived) {
+      List<ShareBalance> received = ShareBalance.negated(sentLessReceived);
+      return new Member(
+          id, joinedEpoch, stopped, baseUnits, extras, ShareBalance.sum(settled, received));
+    }
+  }
+
+  /**
+   * A member of earlier epochs.
+   *
+   * @param id the member
+   * @param joinedEpoch number of its first epoch
+   * @param removedEpoch number of the first epoch without it
+   * @param stopped whether a later run of the same instance had replaced it
+   */
+  public record Former(MemberId id, long joinedEpoch, long removedEpoch, boolean stopped) {
+
+    private Former markedStopped() {
+      return new Former(id, joinedEpoch, removedEpoch, true);
+    }
+  }
+
+  /** Copies the lists. */
+  public ShareEpoch {
+    members = List.copyOf(members);
+    former = List.copyOf(former);
+  }
+
+  /** Returns the first epoch: its only member holds everything, without tokens. */
+  public static ShareEpoch founding(MemberId founder, String proposal) {
+    Member member = new Member(founder, 1, false, ShareAmount.WHOLE, List.of(), List.of());
+    return new ShareEpoch(1, proposal, List.of(member), List.of());
+  }
+
+  /** Returns the next epoch with one more member, which holds nothing yet. */
+  public ShareEpoch withJoined(MemberId id, String newProposal) {
+    List<Member> next = new ArrayList<>();
+    for (Member member : members) {
+      next.add(member.id().precedes(id) ? member.markedStopped() : member);
+    }
+    List<Former> nextFormer = new ArrayList<>();
+    for (Former old : former) {
+      nextFormer.add(old.id().precedes(id) ? old.markedStopped() : old);
+    }
+    next.add(new Member(id, number + 1, false, 0, List.of(), List.of()));
+    return new ShareEpoch(number + 1, newProposal, next, nextFormer);
+  }
+
+  /** Returns the next epoch with the same members; it voids every proposal on this one. */
+  public ShareEpoch renewed(String newProposal) {
+    return new ShareEpoch(number + 1, newProposal, members, former);
+  }
+
+  /**
+   * Returns the next epoch without the dead members; the heir is granted what they held.
+   *
+   * <p>The dead held what they were granted, what they had settled with former members, and what
+   * the remaining members sent to them less what these received from them.
+   *
+   * @param dead members to remove
+   * @param heir remaining member that receives their shares
+   * @param balances what each remaining member sent to the dead less what it received from them
+   * @param newProposal identifier of the change
+   */
+  public ShareEpoch withReclaimed(
+      Set<MemberId> dead,
+      MemberId heir,
+      Map<MemberId, List<ShareBalance>> balances,
+      String newProposal) {
+    long inheritedBase = 0;
+    List<ShareBalance> inherited = List.of();
+    List<Former> nextFormer = new ArrayList<>(former);
+    for (Member member : members) {
+      if (!dead.contains(member.id())) {
+        List<ShareBalance> balance = balances.getOrDefault(member.id(), List.of());
+        inherited = ShareBalance.sum(inherited, balance);
+        continue;
+      }
+      inheritedBase += member.baseUnits();
+      inherited = ShareBalance.sum(inherited, member.extras());
+      inherited = ShareBalance.sum(inherited, member.settled());
+      nextFormer.add(new Former(member.id(), member.joinedEpoch(), number + 1, member.stopped()));
+    }
+    List<Member> next = new ArrayList<>();
+    for (Member member : members) {
+      if (dead.contains(member.id())) {
+        continue;
+      }
+      Member settled = member.settled(balances.getOrDefault(member.id(), List.of()));
+      boolean inherits = member.id().equals(heir);
+      next.add(inherits ? settled.granted(inheritedBase, inherited) : settled);
+    }
+    int surplus = Math.max(0, nextFormer.size() - FORMER_LIMIT);
+    return new ShareEpoch(
+        number + 1, newProposal, next, nextFormer.subList(surplus, nextFormer.size()));
+  }
+
+  /** Returns the member of the given identity, if present. */
+  public Optional<Member> member(MemberId id) {
+    for (Member member : members) {
+      if (member.id().equals(id)) {
+        return Optional.of(member);
+      }
+    }
+    return Optional.empty();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/bambooarch/core/budget/internal/BudgetState.java
@@ -0,0 +1,139 @@
+package org.bambooarch.core.budget.internal;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.random.RandomGenerator;
+import org.bambooarch.core.budget.BudgetMessage;
+import org.bambooarch.core.budget.BudgetSettings;
+import org.bambooarch.core.budget.MemberId;
+import org.bambooarch.core.budget.ShareEpoch;
+import org.bambooarch.core.budget.ShareEpochStore;
+import org.bambooarch.core.peer.PeerSender;
+import org.bambooarch.core.time.Clock;
+
+/** The control state that the systems of the budgets run over; used by the control thread only. */
+public final class BudgetState {
+
+  private static final long NOTICE_INTERVAL_NANOS = 200_000_000L;
+
+  final BudgetSettings settings;
+  final Clock clock;
+  final RandomGenerator random;
+  final PeerSender sender;
+  final ShareEpochStore store;
+  final ShareTable table;
+  final Map<MemberId, Peer> peers = new TreeMap<>();
+  final Set<MemberId> closed = new HashSet<>();
+  MemberId self;
+  ShareEpoch epoch;
+  boolean leaving;
+  private long proposalCount;
+  private volatile boolean confirmed;
+  private volatile long usableUntilNanos;
+
+  /** Creates the state of an instance that holds nothing yet. */
+  public BudgetState(
+      MemberId self,
+      BudgetSettings settings,
+      Clock clock,
+      RandomGenerator random,
+      PeerSender sender,
+      ShareEpochStore store) {
+    this.self = self;
+    this.settings = settings;
+    this.clock = clock;
+    this.random = random;
+    this.sender = sender;
+    this.store = store;
+    this.table = new ShareTable();
+  }
+
+  /** Returns the table of shares. */
+  public ShareTable table() {
+    return table;
+  }
+
+  /** Returns this run of the instance. */
+  public MemberId self() {
+    return self;
+  }
+
+  /** Returns the known epoch, or null. */
+  public ShareEpoch epoch() {
+    return epoch;
+  }
+
+  /** Returns the other members of the known epoch. */
+  public Collection<Peer> peers() {
+    return peers.values();
+  }
+
+  /** Starts to give all shares away. */
+  public void leave() {
+    leaving = true;
+  }
+
+  /** Returns whether the shares may be used now; safe on any thread. */
+  public boolean isUsable() {
+    return confirmed && clock.monotonicNanos() - usableUntilNanos < 0;
+  }
+
+  /** Returns the moment until which the shares may be used; meaningless while unconfirmed. */
+  public long usableUntilNanos() {
+    return usableUntilNanos;
+  }
+
+  void confirmUntil(long deadlineNanos) {
+    if (!confirmed || deadlineNanos - usableUntilNanos > 0) {
+      usableUntilNanos = deadlineNanos;
+    }
+    confirmed = true;
+  }
+
+  void revoke() {
+    confirmed = false;
+  }
+
+  boolean isMember() {
+    return epoch != null && epoch.member(self).isPresent();
+  }
+
+  String newProposal() {
+    proposalCount++;
+    return self + "/" + proposalCount;
+  }
+
+  void send(BudgetMessage message) {
+    sender.send(message.to().name(), message);
+  }
+
+  /** Returns peers heard within the given time that take part in transfers. */
+  public List<Peer> livePeers(long nowNanos, long silenceNanos) {
+    List<Peer> live = new ArrayList<>();
+    for (Peer peer : peers.values()) {
+      boolean heard = peer.anyStamp && nowNanos - peer.heardNanos < silenceNanos;
+      if (heard && !closed.contains(peer.id)) {
+        live.add(peer);
+      }
+    }
+    return live;
+  }
+
+  void notifyEpoch(MemberId receiver, long nowNanos) {
+    Peer peer = peers.get(receiver);
+    if (peer != null) {
+      boolean again = peer.noticedEpoch == epoch.number();
+      if (again && nowNanos - peer.noticedNanos < NOTICE_INTERVAL_NANOS) {
+        return;
+      }
+      peer.noticedEpoch = epoch.number();
+      peer.noticedNanos = nowNanos;
+    }
+    send(new BudgetMessage.EpochNotice(self, receiver, epoch));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/bambooarch/core/budget/internal/EpochSystem.java
@@ -0,0 +1,196 @@
+package org.bambooarch.core.budget.internal;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import org.bambooarch.core.budget.BudgetSettings.Protection;
+import org.bambooarch.core.budget.ShareBalance;
+import org.bambooarch.core.budget.ShareEpoch;
+import org.bambooarch.core.budget.ShareEpochStore;
+
+/**
+ * Follows the share epoch: reads its row, joins it, and keeps the deadline of this instance's
+ * shares.
+ *
+ * <p>Shares are usable for one lease after a read of the row that shows this member, and for one
+ * lease after more than half of the members have vouched for it.
+ */
+public final class EpochSystem {
+
+  private static final int JITTER_NANOS = 300_000_000;
+
+  private record Grant(long effectiveNanos, long baseUnits, List<ShareBalance> extras) {}
+
+  private final BudgetState state;
+  private final List<Grant> grants = new ArrayList<>();
+  private boolean readOnce;
+  private long nextReadNanos;
+  private boolean anyAnswer;
+  private boolean identityUsed;
+  private long answeredNanos;
+
+  /** Creates the system over the given state. */
+  public EpochSystem(BudgetState state) {
+    this.state = state;
+  }
+
+  /** Runs once per tick. */
+  public void tick(long nowNanos) {
+    if (!readOnce || nowNanos - nextReadNanos >= 0) {
+      readOnce = true;
+      nextReadNanos = nowNanos + state.settings.readIntervalNanos();
+      state.store.startRead(nowNanos);
+    }
+    applyGrants(nowNanos);
+    confirmByVouches(nowNanos);
+  }
+
+  /** Returns whether the store has answered within the last few reads. */
+  boolean isStoreUp(long nowNanos) {
+    return anyAnswer && nowNanos - answeredNanos < 3 * state.settings.readIntervalNanos();
+  }
+
+  /** Takes in a result of the store. */
+  public void onAnswer(ShareEpochStore.Answer answer, long nowNanos) {
+    switch (answer) {
+      case ShareEpochStore.Answer.Read read -> onRead(read, nowNanos);
+      case ShareEpochStore.Answer.Written written -> adopt(written.epoch(), nowNanos);
+      case ShareEpochStore.Answer.Conflict conflict -> readAgainSoon(nowNanos);
+      case ShareEpochStore.Answer.Unknown unknown -> readAgainSoon(nowNanos);
+    }
+  }
+
+  private void readAgainSoon(long nowNanos) {
+    nextReadNanos = nowNanos + state.random.nextInt(JITTER_NANOS);
+  }
+
+  private void onRead(ShareEpochStore.Answer.Read read, long nowNanos) {
+    anyAnswer = true;
+    answeredNanos = nowNanos;
+    Optional<ShareEpoch> stored = read.epoch();
+    if (stored.isEmpty()) {
+      foundEpoch();
+      return;
+    }
+    boolean stale = state.epoch != null && stored.get().number() < state.epoch.number();
+    if (stale) {
+      return;
+    }
+    adopt(stored.get(), nowNanos);
+    if (state.isMember()) {
+      state.confirmUntil(read.startedNanos() + state.settings.leaseNanos());
+      return;
+    }
+    if (!state.leaving) {
+      takeFreshIdentity();
+      ShareEpoch joined = state.epoch.withJoined(state.self, state.newProposal());
+      state.store.startCompareAndSet(state.epoch.number(), joined);
+    }
+  }
+
+  private void foundEpoch() {
+    if (state.epoch == null && !state.leaving) {
+      takeFreshIdentity();
+      state.store.startCompareAndSet(0, ShareEpoch.founding(state.self, state.newProposal()));
+    }
+  }
+
+  /**
+   * Lets no two attempts to join share an identity: an attempt whose answer was lost may have
+   * joined and been reclaimed since, and its settled ledgers must not come back to life.
+   */
+  private void takeFreshIdentity() {
+    if (identityUsed) {
+      state.self = state.self.nextRun();
+    }
+    identityUsed = true;
+  }
+
+  /** Moves on to a newer epoch; an older one is ignored. */
+  public void adopt(ShareEpoch next, long nowNanos) {
+    if (state.epoch != null && next.number() <= state.epoch.number()) {
+      return;
+    }
+    final ShareEpoch previous = state.epoch;
+    boolean wasMember = state.isMember();
+    state.epoch = next;
+    state.closed.clear();
+    if (wasMember && !state.isMember()) {
+      startNewRun();
+    }
+    if (state.isMember()) {
+      scheduleGrant(previous, nowNanos);
+      updatePeers(nowNanos);
+    }
+  }
+
+  /** Gives up everything: the shares of the old run were reclaimed by others. */
+  private void startNewRun() {
+    state.revoke();
+    state.table.clear();
+    state.peers.clear();
+    grants.clear();
+    state.self = state.self.nextRun();
+    identityUsed = false;
+    readOnce = false;
+  }
+
+  private void scheduleGrant(ShareEpoch previous, long nowNanos) {
+    ShareEpoch.Member member = state.epoch.member(state.self).orElseThrow();
+    Optional<ShareEpoch.Member> old =
+        previous == null ? Optional.empty() : previous.member(state.self);
+    long baseUnits = member.baseUnits() - old.map(ShareEpoch.Member::baseUnits).orElse(0L);
+    List<ShareBalance> extras =
+        ShareBalance.sum(
+            member.extras(),
+            ShareBalance.negated(old.map(ShareEpoch.Member::extras).orElse(List.of())));
+    if (baseUnits == 0 && extras.isEmpty()) {
+      return;
+    }
+    boolean waits = state.settings.enforces(Protection.RECLAIM_WAITS_FOR_LEASE);
+    boolean founding = state.epoch.number() == 1;
+    long waitNanos = state.settings.leaseNanos() + state.settings.leaseMarginNanos();
+    long effectiveNanos = founding || !waits ? nowNanos : nowNanos + waitNanos;
+    grants.add(new Grant(effectiveNanos, baseUnits, extras));
+    applyGrants(nowNanos);
+  }
+
+  private void applyGrants(long nowNanos) {
+    for (Grant grant : List.copyOf(grants)) {
+      if (nowNanos - grant.effectiveNanos() >= 0) {
+        state.table.grant(grant.baseUnits(), grant.extras(), nowNanos);
+        grants.remove(grant);
+      }
+    }
+  }
+
+  private void updatePeers(long nowNanos) {
+    state.peers.keySet().removeIf(id -> state.epoch.member(id).isEmpty());
+    for (ShareEpoch.Member member : state.epoch.members()) {
+      if (!member.id().equals(state.self)) {
+        state.peers.computeIfAbsent(
+            member.id(), id -> new Peer(id, nowNanos, member.joinedEpoch()));
+      }
+    }
+  }
+
+  /** Extends the deadline by the vouch that completes a majority, counting this member itself. */
+  void confirmByVouches(long nowNanos) {
+    if (!state.isMember()) {
+      return;
+    }
+    int needed = state.epoch.members().size() / 2;
+    long[] agesNanos =
+        state.peers.values().stream()
+            .filter(peer -> peer.anyVouch)
+            .mapToLong(peer -> nowNanos - peer.vouchNanos)
+            .toArray();
+    if (agesNanos.length < needed) {
+      return;
+    }
+    Arrays.sort(agesNanos);
+    long ageNanos = needed == 0 ? 0 : agesNanos[needed - 1];
+    state.confirmUntil(nowNanos - ageNanos + state.settings.leaseNanos());
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/bambooarch/core/budget/internal/Peer.java
@@ -0,0 +1,64 @@
+package org.bambooarch.core.budget.internal;
+
+import java.util.Map;
+import java.util.TreeMap;
+import org.bambooarch.core.budget.BudgetDump;
+import org.bambooarch.core.budget.MemberId;
+
+/** What this instance knows of one other member. */
+public final class Peer {
+
+  final MemberId id;
+  final Map<String, PairLedger> ledgers = new TreeMap<>();
+  long heardNanos;
+  long knownEpoch;
+  boolean anyStamp;
+  long latestStampNanos;
+  boolean anyAcknowledged;
+  long acknowledgedNanos;
+  boolean anyVouch;
+  long vouchNanos;
+  boolean frozen;
+  boolean leaving;
+  long noticedEpoch;
+  long noticedNanos;
+
+  Peer(MemberId id, long nowNanos, long joinedEpoch) {
+    this.id = id;
+    this.heardNanos = nowNanos;
+    this.knownEpoch = joinedEpoch;
+  }
+
+  PairLedger ledger(String resource) {
+    return ledgers.computeIfAbsent(resource, name -> new PairLedger());
+  }
+
+  void stampReceived(long stampNanos) {
+    if (!anyStamp || stampNanos - latestStampNanos > 0) {
+      latestStampNanos = stampNanos;
+      anyStamp = true;
+    }
+  }
+
+  void acknowledged(long stampNanos) {
+    if (!anyAcknowledged || stampNanos - acknowledgedNanos > 0) {
+      acknowledgedNanos = stampNanos;
+      anyAcknowledged = true;
+    }
+    for (PairLedger ledger : ledgers.values()) {
+      ledger.acknowledge(stampNanos);
+    }
+  }
+
+  void vouched(long stampNanos) {
+    if (!anyVouch || stampNanos - vouchNanos > 0) {
+      vouchNanos = stampNanos;
+      anyVouch = true;
+    }
+  }
+
+  /** Returns the state for a dump. */
+  public BudgetDump.PeerState dump(long nowNanos) {
+    return new BudgetDump.PeerState(id, nowNanos - heardNanos, knownEpoch, leaving);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/bambooarch/core/budget/internal/ReclaimSystem.java
@@ -0,0 +1,219 @@
+package org.bambooarch.core.budget.internal;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.bambooarch.core.budget.BudgetMessage;
+import org.bambooarch.core.budget.BudgetSettings.Protection;
+import org.bambooarch.core.budget.MemberId;
+import org.bambooarch.core.budget.ShareBalance;
+import org.bambooarch.core.budget.ShareEpoch;
+
+/**
+ * Takes back the shares of dead members.
+ *
+ * <p>The lowest live member coordinates. It asks all other live members to close their ledgers with
+ * the dead ones; from their final totals and the nominal holdings follows exactly what the dead
+ * ones held. A compare-and-set on the epoch row decides between rival coordinators.
+ */
+public final class ReclaimSystem {
+
+  private static final long PROPOSAL_TIMEOUT_NANOS = 2_000_000_000L;
+
+  private static final class Proposal {
+    final String id;
+    final long epoch;
+    final Set<MemberId> dead;
+    final long deadlineNanos;
+    final Map<MemberId, BudgetMessage.LedgerClosed> reports = new TreeMap<>();
+    boolean written;
+
+    Proposal(String id, long epoch, Set<MemberId> dead, long deadlineNanos) {
+      this.id = id;
+      this.epoch = epoch;
+      this.dead = dead;
+      this.deadlineNanos = deadlineNanos;
+    }
+  }
+
+  private final BudgetState state;
+  private final EpochSystem epochs;
+  private Proposal proposal;
+  private boolean frozen;
+  private long frozenSinceNanos;
+
+  /** Creates the system over the given state. */
+  public ReclaimSystem(BudgetState state, EpochSystem epochs) {
+    this.state = state;
+    this.epochs = epochs;
+  }
+
+  /** Runs once per tick. */
+  public void tick(long nowNanos) {
+    if (!state.isMember() || !epochs.isStoreUp(nowNanos) || !state.isUsable()) {
+      proposal = null;
+      return;
+    }
+    Set<MemberId> dead = deadMembers(nowNanos);
+    if (!isCoordinator(dead)) {
+      proposal = null;
+      return;
+    }
+    voidOldPromises(dead, nowNanos);
+    if (dead.isEmpty()) {
+      proposal = null;
+      return;
+    }
+    if (!isCurrent(dead, nowNanos)) {
+      propose(dead, nowNanos);
+    }
+    askForReports();
+    writeWhenComplete();
+  }
+
+  private Set<MemberId> deadMembers(long nowNanos) {
+    Set<MemberId> dead = new TreeSet<>();
+    for (ShareEpoch.Member member : state.epoch.members()) {
+      Peer peer = state.peers.get(member.id());
+      if (peer == null) {
+        continue;
+      }
+      boolean silent = nowNanos - peer.heardNanos >= state.settings.suspectNanos();
+      if (silent || member.stopped()) {
+        dead.add(member.id());
+      }
+    }
+    return dead;
+  }
+
+  private boolean isCoordinator(Set<MemberId> dead) {
+    for (Peer peer : state.peers.values()) {
+      if (!dead.contains(peer.id) && peer.id.compareTo(state.self) < 0) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private boolean isCurrent(Set<MemberId> dead, long nowNanos) {
+    return proposal != null
+        && proposal.epoch == state.epoch.number()
+        && proposal.dead.equals(dead)
+        && nowNanos - proposal.deadlineNanos < 0;
+  }
+
+  private void propose(Set<MemberId> dead, long nowNanos) {
+    String id = state.newProposal();
+    long deadlineNanos = nowNanos + PROPOSAL_TIMEOUT_NANOS;
+    proposal = new Proposal(id, state.epoch.number(), dead, deadlineNanos);
+    proposal.reports.put(state.self, close(state.self, id, List.copyOf(dead)));
+  }
+
+  /** Replaces the epoch by an equal one, which sets free those who closed a ledger for nothing. */
+  private void voidOldPromises(Set<MemberId> dead, long nowNanos) {
+    boolean nowFrozen = !dead.containsAll(state.closed);
+    for (Peer peer : state.peers.values()) {
+      nowFrozen |= peer.frozen && dead.isEmpty();
+    }
+    if (!nowFrozen || !frozen) {
+      frozen = nowFrozen;
+      frozenSinceNanos = nowNanos;
+      return;
+    }
+    if (nowNanos - frozenSinceNanos >= PROPOSAL_TIMEOUT_NANOS) {
+      frozen = false;
+      ShareEpoch renewed = state.epoch.renewed(state.newProposal());
+      state.store.startCompareAndSet(state.epoch.number(), renewed);
+    }
+  }
+
+  private void askForReports() {
+    for (Peer peer : state.peers.values()) {
+      if (proposal.dead.contains(peer.id) || proposal.reports.containsKey(peer.id)) {
+        continue;
+      }
+      state.send(
+          new BudgetMessage.CloseLedger(
+              state.self, peer.id, proposal.epoch, proposal.id, List.copyOf(proposal.dead)));
+    }
+  }
+
+  private void writeWhenComplete() {
+    int survivors = state.epoch.members().size() - proposal.dead.size();
+    boolean needsAll = state.settings.enforces(Protection.ALL_MEMBERS_REPORT);
+    int needed = needsAll ? survivors : Math.min(2, survivors);
+    if (proposal.written || proposal.reports.size() < needed) {
+      return;
+    }
+    Map<MemberId, Long> knownEpochs = new HashMap<>();
+    Map<MemberId, List<ShareBalance>> balances = new HashMap<>();
+    for (BudgetMessage.LedgerClosed report : proposal.reports.values()) {
+      balances.put(report.from(), report.balances());
+      report.knownEpochs().forEach((id, number) -> knownEpochs.merge(id, number, Math::max));
+    }
+    if (needsAll && !ReclaimRule.isSafe(state.epoch, proposal.dead, knownEpochs)) {
+      return;
+    }
+    proposal.written = true;
+    ShareEpoch next = state.epoch.withReclaimed(proposal.dead, state.self, balances, proposal.id);
+    state.store.startCompareAndSet(state.epoch.number(), next);
+  }
+
+  /** Answers a coordinator, unless this member has fresh evidence that one of the dead lives. */
+  public void onCloseLedger(BudgetMessage.CloseLedger request, long nowNanos) {
+    if (state.epoch.number() != request.epoch()) {
+      return;
+    }
+    for (MemberId id : request.dead()) {
+      Peer peer = state.peers.get(id);
+      boolean stopped = state.epoch.member(id).map(ShareEpoch.Member::stopped).orElse(true);
+      if (peer == null) {
+        return;
+      }
+      if (!stopped && nowNanos - peer.heardNanos < state.settings.suspectNanos() / 2) {
+        return;
+      }
+    }
+    state.send(close(request.from(), request.proposal(), request.dead()));
+  }
+
+  private BudgetMessage.LedgerClosed close(
+      MemberId coordinator, String proposalId, List<MemberId> dead) {
+    Map<String, ShareBalance> sums = new TreeMap<>();
+    Map<MemberId, Long> knownEpochs = new HashMap<>();
+    for (MemberId id : dead) {
+      state.closed.add(id);
+      Peer peer = state.peers.get(id);
+      knownEpochs.put(id, peer.knownEpoch);
+      peer.ledgers.forEach(
+          (resource, ledger) -> sums.merge(resource, ledger.balance(resource), ShareBalance::plus));
+    }
+    return new BudgetMessage.LedgerClosed(
+        state.self,
+        coordinator,
+        state.epoch.number(),
+        proposalId,
+        List.copyOf(sums.values()),
+        Map.copyOf(knownEpochs));
+  }
+
+  /** Takes in a report if it answers the open proposal. */
+  public void onLedgerClosed(BudgetMessage.LedgerClosed report) {
+    boolean expected =
+        proposal != null
+            && proposal.id.equals(report.proposal())
+            && proposal.epoch == report.epoch()
+            && !proposal.written;
+    if (expected) {
+      proposal.reports.put(report.from(), report);
+    }
+  }
+
+  Set<MemberId> openProposal() {
+    return proposal == null ? Set.of() : new HashSet<>(proposal.dead);
+  }
+}
