--- /dev/null
+++ b/cli/src/main/java/org/bambooarch/cli/config/ConfigSession.java
@@ -0,0 +1,114 @@
+package org.bambooarch.cli.config;
+
+import java.util.UUID;
+import joptsimple.OptionSet;
+import org.bambooarch.cli.CommandErrors;
+import org.bambooarch.cli.CommandException;
+import org.bambooarch.cli.ExitCode;
+import org.bambooarch.core.config.ConfigChange;
+import org.bambooarch.core.config.ConfigState;
+import org.bambooarch.inventory.InvalidInventoryException;
+import org.bambooarch.platform.PlatformException;
+import org.bambooarch.platform.config.ConfigRepository;
+
+/** Reads and changes the configuration for one run of a command. */
+public final class ConfigSession {
+
+  private static final int CONFLICT_ATTEMPTS = 5;
+  private static final String CONFLICT_MESSAGE =
+      "conflict: expected version %d, but version %d is accepted (change %s by %s);"
+          + " nothing was changed; run plan again";
+  private static final String UNKNOWN_MESSAGE =
+      "it is not known whether change %s was accepted (%s);"
+          + " run plan to see what is accepted before trying again";
+
+  private final ConfigRepository repository;
+  private final String uri;
+
+  private ConfigSession(ConfigRepository repository, String uri) {
+    this.repository = repository;
+    this.uri = uri;
+  }
+
+  /** Returns a session with the platform that the options name. */
+  public static ConfigSession of(OptionSet options) {
+    return new ConfigSession(PlatformOptions.repository(options), PlatformOptions.uri(options));
+  }
+
+  /** Reads the newest accepted configuration. */
+  public ConfigState readNewest() throws CommandException {
+    try {
+      return repository.catchUp(ConfigState.initial());
+    } catch (PlatformException e) {
+      throw CommandErrors.platformUnreachable(uri, e);
+    } catch (InvalidInventoryException e) {
+      throw CommandErrors.storedUnreadable(e);
+    }
+  }
+
+  /**
+   * Proposes a change and returns the accepted one.
+   *
+   * @throws CommandException if the change was not accepted or if that is not known
+   */
+  public ProposalOutcome.Accepted change(String author, long expectedVersion, ConfigChange change)
+      throws CommandException {
+    ChangeProposer proposer = new ChangeProposer(repository, author);
+    String changeId = UUID.randomUUID().toString();
+    try {
+      return accepted(proposer.propose(expectedVersion, changeId, change), expectedVersion);
+    } catch (InvalidInventoryException e) {
+      throw CommandErrors.storedUnreadable(e);
+    }
+  }
+
+  /**
+   * Proposes a change that does not depend on what other operators change meanwhile.
+   *
+   * <p>A conflict is tried again on the newer version, where the change is made anew.
+   */
+  public ProposalOutcome.Accepted changeNewest(String author, ChangeOnNewest make)
+      throws CommandException {
+    for (int attempt = 1; ; attempt++) {
+      ConfigState newest = readNewest();
+      try {
+        return change(author, newest.version(), make.on(newest));
+      } catch (CommandException e) {
+        if (e.exitCode() != ExitCode.CONFLICT || attempt == CONFLICT_ATTEMPTS) {
+          throw e;
+        }
+      }
+    }
+  }
+
+  /** Makes a change that fits the newest configuration. */
+  @FunctionalInterface
+  public interface ChangeOnNewest {
+
+    /** Returns the change, or fails if it makes no sense on this configuration. */
+    ConfigChange on(ConfigState newest) throws CommandException;
+  }
+
+  private ProposalOutcome.Accepted accepted(ProposalOutcome outcome, long expectedVersion)
+      throws CommandException {
+    return switch (outcome) {
+      case ProposalOutcome.Accepted accepted -> accepted;
+      case ProposalOutcome.Conflict conflict ->
+          throw new CommandException(
+              ExitCode.CONFLICT,
+              CONFLICT_MESSAGE.formatted(
+                  expectedVersion,
+                  conflict.other().version(),
+                  conflict.other().changeId(),
+                  conflict.other().author()));
+      case ProposalOutcome.NotApplied notApplied ->
+          throw new CommandException(
+              ExitCode.UNREACHABLE,
+              "the platform at %s does not answer (%s); nothing was changed; try again"
+                  .formatted(uri, notApplied.reason()));
+      case ProposalOutcome.Unknown unknown ->
+          throw new CommandException(
+              ExitCode.UNKNOWN, UNKNOWN_MESSAGE.formatted(unknown.changeId(), unknown.reason()));
+    };
+  }
+}
