Run the configuration spread in the control loop of an entry instance

Cause: each instance read the whole log from the platform by itself, on the control thread, and could not start while the store was down.

Change: the control loop owns the peers, the configuration spread and the list of instances; calls that block run on virtual threads and report back. An instance boots from the peers of its settings when the platform is away; peers answer on the connection that it opened, since they may not know its address. A connection is now retired on missing answers to pings alone, so that messages of the other direction do not hide a dead one. The published view carries the deadline until which keys may be accepted.

Conclusion: with the stand-in platform refusing all calls, an announced withdrawal comes in force at the peer, and a new instance starts from peers with fresh keys, by the tests.

--- a/core/src/main/java/org/bambooarch/core/config/ConfigSpread.java
+++ b/core/src/main/java/org/bambooarch/core/config/ConfigSpread.java
@@ -98,6 +98,14 @@
     return freshness.keysFreshUntilNanos();
   }
 
+  /** Returns the last moment at which the keys in force were proved to be the newest. */
+  public OptionalLong keysProvenNanos() {
+    OptionalLong until = freshness.keysFreshUntilNanos();
+    return until.isEmpty()
+        ? until
+        : OptionalLong.of(until.getAsLong() - settings.keyFreshnessNanos());
+  }
+
   /** Records the word of an operator that nothing is accepted until a deadline. */
   public void attestStoreDown(long untilNanos) {
     operatorOutageUntilNanos = OptionalLong.of(untilNanos);
--- a/entry/src/main/java/org/bambooarch/entry/EntryInstance.java
+++ b/entry/src/main/java/org/bambooarch/entry/EntryInstance.java
@@ -48,7 +48,7 @@
     this.platform =
         HttpPlatform.at(
             settings.platformUri(), Duration.ofMillis(settings.platformTimeoutMillis()));
-    this.control = ControlLoop.over(platform, clock);
+    this.control = ControlLoop.over(settings, platform, clock);
     this.server =
         Server.builder()
             .http(new InetSocketAddress(settings.host(), settings.callersPort()))
@@ -76,7 +76,7 @@
     try {
       instance.control.start();
       instance.server.start().join();
-      instance.platform.announce(instance.record(false));
+      instance.announce();
     } catch (PlatformException e) {
       instance.close();
       throw e;
@@ -89,6 +89,18 @@
     return instance;
   }
 
+  private void announce() throws PlatformException {
+    try {
+      platform.announce(record(false));
+    } catch (PlatformException e) {
+      if (settings.control().seedPeers().isEmpty()) {
+        throw e;
+      }
+      Logger.warn("event=start-not-announced reason=\"{}\"", e.getMessage());
+      control.announceLater(() -> platform.announce(record(false)));
+    }
+  }
+
   /** Returns the port for callers. */
   public int callersPort() {
     return server.activeLocalPort();
@@ -160,7 +172,7 @@
         settings.dataCentre(),
         settings.host(),
         callersPort(),
-        settings.peersPort(),
+        control.peersPort(),
         leaving);
   }
 
--- a/entry/src/main/java/org/bambooarch/entry/EntrySettings.java
+++ b/entry/src/main/java/org/bambooarch/entry/EntrySettings.java
@@ -11,6 +11,7 @@
  * @param operatorsPort port for operators; 0 takes any free port
  * @param platformUri base URI of the platform's services
  * @param platformTimeoutMillis time limit of one call to the platform
+ * @param control how it acts together with other instances; absent for an instance alone
  */
 public record EntrySettings(
     String name,
@@ -20,4 +21,33 @@
     int peersPort,
     int operatorsPort,
     String platformUri,
-    long platformTimeoutMillis) {}
+    long platformTimeoutMillis,
+    ControlSettings control) {
+
+  /** Fills in the settings of an instance alone. */
+  public EntrySettings {
+    control = control == null ? ControlSettings.alone() : control;
+  }
+
+  /** Returns settings of an instance without peers. */
+  public EntrySettings(
+      String name,
+      String dataCentre,
+      String host,
+      int callersPort,
+      int peersPort,
+      int operatorsPort,
+      String platformUri,
+      long platformTimeoutMillis) {
+    this(
+        name,
+        dataCentre,
+        host,
+        callersPort,
+        peersPort,
+        operatorsPort,
+        platformUri,
+        platformTimeoutMillis,
+        ControlSettings.alone());
+  }
+}
--- a/entry/src/main/java/org/bambooarch/entry/control/ControlLoop.java
+++ b/entry/src/main/java/org/bambooarch/entry/control/ControlLoop.java
@@ -1,88 +1,212 @@
 package org.bambooarch.entry.control;
 
 import java.util.List;
+import java.util.OptionalLong;
+import java.util.concurrent.Executor;
 import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.bambooarch.core.config.ConfigMessage;
 import org.bambooarch.core.config.ConfigState;
+import org.bambooarch.core.config.LoggedChange;
+import org.bambooarch.core.config.SpreadStatus;
+import org.bambooarch.core.peer.PeerMessage;
 import org.bambooarch.core.time.Clock;
+import org.bambooarch.entry.EntrySettings;
 import org.bambooarch.entry.request.RouteTable;
 import org.bambooarch.inventory.InvalidInventoryException;
+import org.bambooarch.peer.PeerStatus;
 import org.bambooarch.platform.InstanceRecord;
 import org.bambooarch.platform.PlatformException;
-import org.bambooarch.platform.config.ConfigRepository;
 import org.bambooarch.platform.http.HttpPlatform;
 import org.tinylog.Logger;
 
-/** The one thread that owns control state and publishes immutable views of it. */
+/**
+ * The one thread that owns control state and publishes immutable views of it.
+ *
+ * <p>Nothing on this thread waits for the platform or for a peer: calls that block run on virtual
+ * threads and report back.
+ */
 public final class ControlLoop implements AutoCloseable {
 
-  private static final long TICK_MILLIS = 500;
+  private static final long TICK_MILLIS = 100;
+  private static final long ANNOUNCEMENT_RETRY_MILLIS = 3_000;
 
-  private final HttpPlatform platform;
-  private final ConfigRepository repository;
-  private final Clock clock;
+  private final EntrySettings settings;
   private final ScheduledExecutorService thread =
       Executors.newSingleThreadScheduledExecutor(Thread.ofPlatform().name("control").factory());
+  private final PeerSystem peers;
+  private final ConfigSystem config;
+  private final InstanceListSystem instanceList;
   private volatile FleetView view = FleetView.empty();
+  private volatile SpreadStatus spreadStatus;
 
-  private ControlLoop(HttpPlatform platform, Clock clock) {
-    this.platform = platform;
-    this.repository = new ConfigRepository(platform);
-    this.clock = clock;
+  private ControlLoop(EntrySettings settings, HttpPlatform platform, Clock clock) {
+    this.settings = settings;
+    Executor control = this::run;
+    RandomGenerator random = RandomGenerator.of("L64X128MixRandom");
+    this.peers = new PeerSystem(settings, control, random, this::receive);
+    this.config = new ConfigSystem(settings, platform, peers, clock, random, control);
+    this.instanceList =
+        new InstanceListSystem(
+            platform, clock, ThreadLocalRandom::current, control, settings.control().seedPeers());
+    this.spreadStatus = config.spread().status();
   }
 
   /** Returns a loop over the platform that is not started yet. */
-  public static ControlLoop over(HttpPlatform platform, Clock clock) {
-    return new ControlLoop(platform, clock);
+  public static ControlLoop over(EntrySettings settings, HttpPlatform platform, Clock clock) {
+    return new ControlLoop(settings, platform, clock);
   }
 
   /**
    * Reads the configuration once and starts the loop.
    *
-   * @throws PlatformException if the platform does not answer
+   * @throws PlatformException if the platform does not answer and no other instance is known
    */
   public void start() throws PlatformException {
     try {
-      refresh();
+      peers.start();
+      config.readNow();
+      instanceList.readNow();
     } catch (InvalidInventoryException e) {
       Logger.error("event=configuration-unreadable reason=\"{}\"", e.getMessage());
+    } catch (PlatformException e) {
+      if (settings.control().seedPeers().isEmpty()) {
+        throw e;
+      }
+      Logger.warn("event=starting-from-peers reason=\"{}\"", e.getMessage());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
     }
+    takeInstances();
+    publish();
     thread.scheduleWithFixedDelay(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
   }
 
+  /** A call to the platform that may fail. */
+  @FunctionalInterface
+  public interface PlatformCall {
+
+    /** Calls the platform. */
+    void call() throws PlatformException;
+  }
+
+  /** Repeats a call every few seconds until the platform takes it. */
+  public void announceLater(PlatformCall call) {
+    thread.schedule(
+        () -> Thread.startVirtualThread(() -> tryAnnouncement(call)),
+        ANNOUNCEMENT_RETRY_MILLIS,
+        TimeUnit.MILLISECONDS);
+  }
+
+  private void tryAnnouncement(PlatformCall call) {
+    try {
+      call.call();
+      Logger.info("event=announced-late instance={}", settings.name());
+    } catch (PlatformException e) {
+      if (!thread.isShutdown()) {
+        announceLater(call);
+      }
+    }
+  }
+
   /** Returns the newest published view. */
   public FleetView view() {
     return view;
   }
 
+  /** Returns the port for other instances. */
+  public int peersPort() {
+    return peers.port();
+  }
+
+  /** Returns what this instance knows of the configuration. */
+  public SpreadStatus spreadStatus() {
+    return spreadStatus;
+  }
+
+  /** Returns the figures of the connections to other instances. */
+  public List<PeerStatus> peerStatuses() {
+    return peers.statuses();
+  }
+
+  /** Takes a change that an operator's tool committed, so that peers learn it without the store. */
+  public void announce(LoggedChange change) {
+    run(() -> config.spread().announce(change));
+  }
+
+  /** Takes an operator's word that nothing is accepted until a monotonic deadline. */
+  public void attestStoreDown(long untilNanos) {
+    run(() -> config.spread().attestStoreDown(untilNanos));
+  }
+
   @Override
   public void close() {
     thread.shutdownNow();
+    peers.close();
+  }
+
+  private void run(Runnable task) {
+    try {
+      thread.execute(() -> guarded(task));
+    } catch (RejectedExecutionException e) {
+      // The instance has stopped; nothing is left to decide.
+    }
   }
 
   private void tick() {
-    long startedNanos = clock.monotonicNanos();
+    guarded(
+        () -> {
+          if (instanceList.tick()) {
+            takeInstances();
+          }
+          config.tick();
+          publish();
+        });
+  }
+
+  /** Runs a task so that a fault in it does not end the control thread. */
+  private static void guarded(Runnable task) {
     try {
-      refresh();
-    } catch (PlatformException | InvalidInventoryException e) {
-      long elapsedMillis = (clock.monotonicNanos() - startedNanos) / 1_000_000L;
-      Logger.warn(
-          "event=refresh-failed elapsedMillis={} reason=\"{}\"", elapsedMillis, e.getMessage());
+      task.run();
+    } catch (RuntimeException e) {
+      Logger.error(e, "event=control-fault reason=\"{}\"", e.getMessage());
     }
   }
 
-  private void refresh() throws PlatformException, InvalidInventoryException {
+  private void receive(String fromInstance, PeerMessage message) {
+    switch (message) {
+      case ConfigMessage configMessage -> {
+        config.receive(fromInstance, configMessage);
+        publish();
+      }
+      default ->
+          Logger.warn(
+              "event=peer-message-ignored peer={} type={}",
+              fromInstance,
+              message.getClass().getSimpleName());
+    }
+  }
+
+  private void takeInstances() {
+    List<InstanceRecord> instances = instanceList.instances();
+    peers.updateInstances(instances);
+    config.updateInstances(instances);
+  }
+
+  private void publish() {
     FleetView before = view;
-    ConfigState config = repository.catchUp(before.config());
-    List<InstanceRecord> instances = platform.current();
-    RouteTable routes =
-        config.version() == before.config().version()
-            ? before.routes()
-            : RouteTable.of(config.inventory());
-    view = new FleetView(config, routes, instances);
-    if (config.version() != before.config().version()) {
-      Logger.info("event=configuration-in-force version={}", config.version());
+    ConfigState state = config.spread().state();
+    OptionalLong keysFreshUntilNanos = config.spread().keysFreshUntilNanos();
+    boolean changed = state.version() != before.config().version();
+    RouteTable routes = changed ? RouteTable.of(state.inventory()) : before.routes();
+    view = new FleetView(state, routes, instanceList.instances(), keysFreshUntilNanos);
+    spreadStatus = config.spread().status();
+    if (changed) {
+      Logger.info("event=configuration-in-force version={}", state.version());
     }
   }
 }
--- /dev/null
+++ b/entry/src/test/java/org/bambooarch/entry/control/ControlLoopTest.java
@@ -0,0 +1,133 @@
+package org.bambooarch.entry.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+import org.bambooarch.core.config.ConfigChange;
+import org.bambooarch.core.config.LoggedChange;
+import org.bambooarch.core.inventory.DataCentre;
+import org.bambooarch.core.inventory.Inventory;
+import org.bambooarch.core.inventory.Region;
+import org.bambooarch.core.time.SystemClock;
+import org.bambooarch.entry.ControlSettings;
+import org.bambooarch.entry.EntrySettings;
+import org.bambooarch.platform.InstanceRecord;
+import org.bambooarch.platform.config.ConfigRepository;
+import org.bambooarch.platform.http.HttpPlatform;
+import org.bambooarch.standin.PlatformFaults;
+import org.bambooarch.standin.StandinPlatform;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+// The timeout only ends a run that hangs; no test depends on how long something takes.
+@Timeout(120)
+class ControlLoopTest {
+
+  private static final String HOST = "127.0.0.1";
+  private static final long POLL_NANOS = 10_000_000L;
+  private static final PlatformFaults DOWN = new PlatformFaults(true, 0, false);
+
+  private final List<ControlLoop> loops = new ArrayList<>();
+  private StandinPlatform standin;
+  private HttpPlatform platform;
+  private ConfigRepository repository;
+
+  @BeforeEach
+  void startPlatform() throws Exception {
+    standin = StandinPlatform.startOn(HOST, 0, 0, SystemClock.systemClock());
+    platform = HttpPlatform.at("http://" + HOST + ":" + standin.port(), Duration.ofSeconds(2));
+    repository = new ConfigRepository(platform);
+    Inventory inventory =
+        new Inventory(
+            List.of(new Region("kochi"), new Region("tvm")),
+            List.of(
+                new DataCentre("kochi-a", "kochi"),
+                new DataCentre("kochi-b", "kochi"),
+                new DataCentre("tvm-a", "tvm")),
+            List.of(),
+            List.of(),
+            List.of(),
+            List.of(),
+            List.of(),
+            List.of());
+    repository.propose(0, "c1", "test", new ConfigChange.ReplaceInventory(inventory));
+  }
+
+  @AfterEach
+  void stop() {
+    loops.forEach(ControlLoop::close);
+    standin.close();
+  }
+
+  private ControlLoop startLoop(String name, String dataCentre, List<InstanceRecord> seeds)
+      throws Exception {
+    ControlSettings control =
+        new ControlSettings(List.of("the secret of this test fleet"), "kochi", seeds);
+    EntrySettings settings =
+        new EntrySettings(name, dataCentre, HOST, 0, 0, 0, "http://unused", 2_000, control);
+    ControlLoop loop = ControlLoop.over(settings, platform, SystemClock.systemClock());
+    loops.add(loop);
+    loop.start();
+    return loop;
+  }
+
+  private ControlLoop join(String name, String dataCentre) throws Exception {
+    ControlLoop loop = startLoop(name, dataCentre, List.of());
+    platform.announce(new InstanceRecord(name, dataCentre, HOST, 1, loop.peersPort(), false));
+    return loop;
+  }
+
+  private static void await(BooleanSupplier condition) {
+    while (!condition.getAsBoolean()) {
+      LockSupport.parkNanos(POLL_NANOS);
+    }
+  }
+
+  private static boolean hasPeers(ControlLoop loop, int count) {
+    return loop.peerStatuses().stream().filter(peer -> peer.connected()).count() == count;
+  }
+
+  @Test
+  void should_boot_from_peers_and_keep_keys_fresh_when_the_store_is_down() throws Exception {
+    // given
+    ControlLoop kochiA = join("entry-1", "kochi-a");
+    ControlLoop kochiB = join("entry-2", "kochi-b");
+    await(() -> hasPeers(kochiA, 1) && hasPeers(kochiB, 1));
+    standin.misbehave(DOWN);
+    await(() -> kochiA.spreadStatus().storeAttestedDown());
+    // when: the restarted instance knows one address from its settings, and is known to nobody else
+    List<InstanceRecord> seeds =
+        List.of(
+            new InstanceRecord("entry-1", "kochi-a", HOST, 1, kochiA.peersPort(), false),
+            new InstanceRecord("entry-2", "kochi-b", HOST, 1, kochiB.peersPort(), false));
+    ControlLoop restarted = startLoop("entry-3", "tvm-a", seeds);
+    // then
+    await(() -> restarted.view().config().version() == 1);
+    await(() -> restarted.spreadStatus().storeAttestedDown());
+    assertThat(restarted.view().areKeysFresh(System.nanoTime())).isTrue();
+  }
+
+  @Test
+  void should_put_a_change_in_force_everywhere_and_announce_it_while_the_store_is_down()
+      throws Exception {
+    // given
+    ControlLoop kochiA = join("entry-1", "kochi-a");
+    ControlLoop kochiB = join("entry-2", "kochi-b");
+    await(() -> hasPeers(kochiA, 1) && hasPeers(kochiB, 1));
+    repository.propose(1, "c2", "test", new ConfigChange.IssueKey("d1", "kerala"));
+    await(() -> kochiB.view().config().version() == 2);
+    // when
+    repository.propose(2, "c3", "test", new ConfigChange.WithdrawKey("d1"));
+    standin.misbehave(DOWN);
+    kochiA.announce(new LoggedChange(3, "{\"kind\":\"withdraw-key\",\"digest\":\"d1\"}"));
+    // then
+    await(() -> kochiB.view().config().version() == 3);
+    assertThat(kochiB.view().config().keysByDigest().get("d1").withdrawn()).isTrue();
+  }
+}
--- a/peer/src/main/java/org/bambooarch/peer/PeerNetwork.java
+++ b/peer/src/main/java/org/bambooarch/peer/PeerNetwork.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
@@ -21,9 +22,9 @@
 /**
  * The connections of one instance to its peers.
  *
- * <p>Messages go out on the connection that the sender opened, and are handed to the control
- * executor at the receiver. Delivery is not guaranteed: what cannot be sent now is dropped and
- * counted.
+ * <p>Messages go out on the connection that the sender opened, or else on one that the receiver
+ * opened, and are handed to the control executor at the receiver. Delivery is not guaranteed: what
+ * cannot be sent now is dropped and counted.
  *
  * <pre>{@code
  * PeerNetwork network = PeerNetwork.create(settings, PeerCodec.standard(), control, random);
@@ -109,18 +110,26 @@
   }
 
   private void add(PeerAddress address) {
-    OutboundPeer peer = new OutboundPeer(address, settings, group, random, this::publish);
+    OutboundPeer peer = new OutboundPeer(address, settings, inbox, group, random, this::publish);
     peersByInstance.put(address.instance(), peer);
     peer.open();
   }
 
   @Override
   public void send(String instance, PeerMessage message) {
+    byte[] payload = codec.encode(message).toByteArray();
     OutboundPeer peer = peersByInstance.get(instance);
-    if (peer == null) {
+    if (peer != null && peer.isConnected()) {
+      peer.send(payload);
       return;
     }
-    peer.send(codec.encode(message).toByteArray());
+    // A peer that has just started may be known by its own connection only.
+    listener.send(instance, payload);
+  }
+
+  /** Returns the instances that have opened a connection to this one. */
+  public Set<String> connectedFrom() {
+    return listener.connectedFrom();
   }
 
   /** Returns the figures of all peers. */
--- a/peer/src/main/java/org/bambooarch/peer/internal/AcceptorSession.java
+++ b/peer/src/main/java/org/bambooarch/peer/internal/AcceptorSession.java
@@ -1,11 +1,14 @@
 package org.bambooarch.peer.internal;
 
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import org.bambooarch.peer.generated.PeerProtocol.Envelope;
 import org.bambooarch.peer.generated.PeerProtocol.Pong;
 
-/** An authenticated connection that a peer opened: it brings messages and pings. */
+/**
+ * An authenticated connection that a peer opened: it brings messages and pings, and takes answers.
+ */
 final class AcceptorSession extends SimpleChannelInboundHandler<byte[]> {
 
   private final String instance;
@@ -18,6 +21,18 @@
     this.inbox = inbox;
   }
 
+  /** Sends an encoded envelope back on this connection, or drops it when the peer reads slowly. */
+  void send(Channel channel, byte[] payload) {
+    channel.eventLoop().execute(() -> write(channel, payload));
+  }
+
+  private void write(Channel channel, byte[] payload) {
+    boolean fits = payload.length + FrameSeal.CODE_BYTES <= FrameDecoder.PROVEN_LIMIT_BYTES;
+    if (channel.isWritable() && fits) {
+      Frames.write(channel, keys.acceptor().seal(payload));
+    }
+  }
+
   @Override
   protected void channelRead0(ChannelHandlerContext context, byte[] frame) throws Exception {
     inbox.countBytes(Integer.BYTES + frame.length);
--- a/peer/src/main/java/org/bambooarch/peer/internal/OpenerSession.java
+++ b/peer/src/main/java/org/bambooarch/peer/internal/OpenerSession.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.timeout.ReadTimeoutException;
 import java.time.Duration;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
@@ -11,19 +12,31 @@
 /**
  * An authenticated connection that this instance opened: it carries messages and pings out.
  *
- * <p>Only answers to pings come back on it, so that the read timeout in front of this handler
- * retires a connection that has gone silent in either direction.
+ * <p>A peer that does not know this instance's address answers on it. Only an answered ping proves
+ * that both directions carry; without one for too long the connection is retired.
  */
 final class OpenerSession extends SimpleChannelInboundHandler<byte[]> {
 
+  private final String instance;
   private final SessionKeys keys;
+  private final Inbox inbox;
   private final Duration pingInterval;
+  private final Duration silenceLimit;
   private ScheduledFuture<?> pings;
   private long nextPingNumber;
+  private long lastPongNanos;
 
-  OpenerSession(SessionKeys keys, Duration pingInterval) {
+  OpenerSession(
+      String instance,
+      SessionKeys keys,
+      Inbox inbox,
+      Duration pingInterval,
+      Duration silenceLimit) {
+    this.instance = instance;
     this.keys = keys;
+    this.inbox = inbox;
     this.pingInterval = pingInterval;
+    this.silenceLimit = silenceLimit;
   }
 
   byte[] seal(byte[] payload) {
@@ -32,6 +45,7 @@
 
   @Override
   public void handlerAdded(ChannelHandlerContext context) {
+    lastPongNanos = System.nanoTime();
     long intervalNanos = pingInterval.toNanos();
     pings =
         context
@@ -47,11 +61,20 @@
 
   @Override
   protected void channelRead0(ChannelHandlerContext context, byte[] frame) throws Exception {
-    // A pong needs no action: its arrival has already reset the read timeout.
-    Inbox.parse(keys.acceptor().open(frame));
+    inbox.countBytes(Integer.BYTES + frame.length);
+    Envelope envelope = Inbox.parse(keys.acceptor().open(frame));
+    if (envelope.getBodyCase() == Envelope.BodyCase.PONG) {
+      lastPongNanos = System.nanoTime();
+      return;
+    }
+    inbox.receive(instance, envelope);
   }
 
   private void ping(ChannelHandlerContext context) {
+    if (System.nanoTime() - lastPongNanos > silenceLimit.toNanos()) {
+      context.fireExceptionCaught(ReadTimeoutException.INSTANCE);
+      return;
+    }
     Ping ping = Ping.newBuilder().setNumber(nextPingNumber++).build();
     byte[] payload = Envelope.newBuilder().setPing(ping).build().toByteArray();
     Frames.write(context.channel(), seal(payload));
--- a/peer/src/main/java/org/bambooarch/peer/internal/OutboundPeer.java
+++ b/peer/src/main/java/org/bambooarch/peer/internal/OutboundPeer.java
@@ -25,6 +25,7 @@
 
   private final PeerAddress address;
   private final PeerSettings settings;
+  private final Inbox inbox;
   private final EventLoop loop;
   private final BackOff backOff;
   private final Consumer<PeerEvent> events;
@@ -41,11 +42,13 @@
   public OutboundPeer(
       PeerAddress address,
       PeerSettings settings,
+      Inbox inbox,
       EventLoopGroup group,
       RandomGenerator random,
       Consumer<PeerEvent> events) {
     this.address = address;
     this.settings = settings;
+    this.inbox = inbox;
     this.loop = group.next();
     this.events = events;
     this.backOff =
@@ -73,6 +76,11 @@
         });
   }
 
+  /** Returns whether messages can be sent now. */
+  public boolean isConnected() {
+    return session != null;
+  }
+
   /** Queues an encoded envelope, or drops it when the peer is away or its queue is full. */
   public void send(byte[] payload) {
     int frameBytes = payload.length + Frames.OVERHEAD_BYTES;
@@ -145,7 +153,9 @@
   }
 
   private void whenProven(ChannelHandlerContext context, SessionKeys keys) {
-    OpenerSession proven = new OpenerSession(keys, settings.pingInterval());
+    OpenerSession proven =
+        new OpenerSession(
+            address.instance(), keys, inbox, settings.pingInterval(), settings.silenceLimit());
     context.pipeline().get(FrameDecoder.class).allowProvenFrames();
     context.pipeline().get(ConnectionEnd.class).markProven();
     context.pipeline().replace(context.handler(), "session", proven);
--- a/peer/src/main/java/org/bambooarch/peer/internal/PeerListener.java
+++ b/peer/src/main/java/org/bambooarch/peer/internal/PeerListener.java
@@ -11,6 +11,7 @@
 import io.netty.handler.traffic.ChannelTrafficShapingHandler;
 import java.net.InetSocketAddress;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -66,6 +67,19 @@
     channelsByInstance.values().forEach(Channel::close);
   }
 
+  /** Returns the instances that have opened a connection. */
+  public Set<String> connectedFrom() {
+    return Set.copyOf(channelsByInstance.keySet());
+  }
+
+  /** Sends an encoded envelope on the connection that a peer opened, if there is one. */
+  public void send(String instance, byte[] payload) {
+    Channel channel = channelsByInstance.get(instance);
+    if (channel != null && channel.pipeline().get("session") instanceof AcceptorSession session) {
+      session.send(channel, payload);
+    }
+  }
+
   private void initialize(Channel accepted) {
     if (unprovenConnections.incrementAndGet() > MAX_UNPROVEN_CONNECTIONS) {
       unprovenConnections.decrementAndGet();
--- a/peer/src/test/java/org/bambooarch/peer/PeerNetworkTest.java
+++ b/peer/src/test/java/org/bambooarch/peer/PeerNetworkTest.java
@@ -128,15 +128,34 @@
   }
 
   @Test
-  void should_drop_and_count_a_message_when_the_peer_is_away() throws Exception {
+  void should_answer_on_the_peers_own_connection_when_its_address_is_not_known() throws Exception {
+    // given
+    PeerNetwork answering = network("tvm-a-1", SECRET);
+    answering.onMessage((from, message) -> answering.send(from, MESSAGE));
+    int port = answering.start();
+    PeerNetwork asking = network("kochi-a-1", SECRET);
+    asking.onMessage((from, message) -> received.add(message)).start();
+    asking.updatePeers(List.of(new PeerAddress("tvm-a-1", HOST, port)));
+    awaitEvent(PeerEvent.Connected.class);
+    // when
+    asking.send("tvm-a-1", new ConfigMessage.HeadProbe(1, 0));
+    // then
+    assertThat(received.take()).isEqualTo(MESSAGE);
+  }
+
+  @Test
+  void should_drop_a_message_larger_than_a_frame_and_keep_the_connection() throws Exception {
     // given
     int port = startReceiver("tvm-a-1", SECRET);
-    PeerNetwork sender = network("kochi-a-1", Secret.secret("a secret of someone else"));
+    PeerNetwork sender = network("kochi-a-1", SECRET);
     sender.start();
     sender.updatePeers(List.of(new PeerAddress("tvm-a-1", HOST, port)));
+    awaitEvent(PeerEvent.Connected.class);
     // when
+    sender.send("tvm-a-1", new ConfigMessage.SnapshotPart(1, 1, 0, "x".repeat(70_000)));
     sender.send("tvm-a-1", MESSAGE);
     // then
+    assertThat(received.take()).isEqualTo(MESSAGE);
     assertThat(sender.statuses().getFirst().droppedMessages()).isEqualTo(1);
   }
 }
