--- /dev/null
+++ b/cli/src/main/java/org/bambooarch/cli/CommandLine.java
@@ -0,0 +1,100 @@
+package org.bambooarch.cli;
+
+import java.io.IOException;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import joptsimple.OptionException;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+
+/**
+ * The command line: finds the command, reads its options and reports its errors.
+ *
+ * <pre>{@code
+ * int exitCode = CommandLine.of(Commands.all()).run(args, Console.ofProcess()).code();
+ * }</pre>
+ */
+public final class CommandLine {
+
+  private static final String PROGRAM = "bambooarch";
+  private static final List<String> HELP_FLAGS = List.of("--help", "-h", "help");
+
+  private final Map<String, Command> commandsByName = new LinkedHashMap<>();
+
+  private CommandLine(List<Command> commands) {
+    for (Command command : commands) {
+      commandsByName.put(command.name(), command);
+    }
+  }
+
+  /** Returns a command line of the given commands. */
+  public static CommandLine of(List<Command> commands) {
+    return new CommandLine(commands);
+  }
+
+  /** Runs the command that the arguments name and returns the exit code. */
+  public ExitCode run(String[] args, Console console) {
+    if (args.length == 0 || HELP_FLAGS.contains(args[0])) {
+      printHelp(console);
+      return args.length == 0 ? ExitCode.USAGE : ExitCode.DONE;
+    }
+    Command command = commandsByName.get(args[0]);
+    if (command == null) {
+      console.error(PROGRAM + ": unknown command \"" + args[0] + "\"; see " + PROGRAM + " --help");
+      return ExitCode.USAGE;
+    }
+    return run(command, Arrays.copyOfRange(args, 1, args.length), console);
+  }
+
+  private static ExitCode run(Command command, String[] args, Console console) {
+    OptionParser parser = new OptionParser();
+    parser.accepts("help", "print this help").forHelp();
+    command.declare(parser);
+    try {
+      OptionSet options = parser.parse(args);
+      if (options.has("help")) {
+        printHelp(command, parser, console);
+        return ExitCode.DONE;
+      }
+      return command.run(options, console);
+    } catch (OptionException e) {
+      fail(command, e.getMessage() + "; see --help", console);
+      return ExitCode.USAGE;
+    } catch (CommandException e) {
+      fail(command, e.getMessage(), console);
+      return e.exitCode();
+    }
+  }
+
+  private static void fail(Command command, String message, Console console) {
+    console.error(PROGRAM + " " + command.name() + ": " + message);
+  }
+
+  private void printHelp(Console console) {
+    console.line("usage: " + PROGRAM + " COMMAND [ARGUMENTS] [OPTIONS]");
+    console.line("");
+    for (Command command : commandsByName.values()) {
+      console.line("  %-17s %s", command.name(), command.summary());
+    }
+    console.line("");
+    console.line("exit codes:");
+    for (ExitCode code : ExitCode.values()) {
+      console.line("  %d  %s", code.code(), code.meaning());
+    }
+    console.line("");
+    console.line("%s COMMAND --help prints the options of a command", PROGRAM);
+  }
+
+  private static void printHelp(Command command, OptionParser parser, Console console) {
+    console.line("usage: %s %s %s", PROGRAM, command.name(), command.arguments());
+    console.line(command.summary());
+    console.line("");
+    try {
+      parser.printHelpOn(console.out());
+    } catch (IOException e) {
+      console.error(PROGRAM + ": help cannot be printed: " + e.getMessage());
+    }
+  }
+}
--- a/entry/src/main/java/org/bambooarch/entry/EntryInstance.java
+++ b/entry/src/main/java/org/bambooarch/entry/EntryInstance.java
@@ -10,6 +10,11 @@
 import org.bambooarch.entry.control.ControlLoop;
 import org.bambooarch.entry.control.FleetView;
 import org.bambooarch.entry.lookup.LookupService;
+import org.bambooarch.entry.operators.EntryMetrics;
+import org.bambooarch.entry.operators.InstancePages;
+import org.bambooarch.entry.operators.MeteredService;
+import org.bambooarch.entry.operators.OperatorsServer;
+import org.bambooarch.entry.operators.Readiness;
 import org.bambooarch.entry.request.ForwardService;
 import org.bambooarch.entry.shutdown.GracefulShutdown;
 import org.bambooarch.entry.shutdown.InFlightRequests;
@@ -37,9 +42,12 @@
   private final Clock clock;
   private final HttpPlatform platform;
   private final ControlLoop control;
+  private final EntryMetrics metrics = new EntryMetrics();
   private final InFlightRequests inFlight = new InFlightRequests();
   private final GracefulShutdown shutdown;
   private final Server server;
+  private final OperatorsServer operators;
+  private volatile boolean stopping;
 
   private EntryInstance(EntrySettings settings, Clock clock) {
     this.settings = settings;
@@ -60,10 +68,14 @@
             .service(LookupService.PATH, new LookupService(control::view, settings.dataCentre()))
             .service(
                 "prefix:/",
-                new ForwardService(
-                    control::view, settings.dataCentre(), ThreadLocalRandom::current))
+                MeteredService.around(
+                    new ForwardService(
+                        control::view, settings.dataCentre(), ThreadLocalRandom::current),
+                    metrics))
             .decorator(inFlight.countingDecorator())
             .build();
+    this.operators =
+        InstancePages.serverFor(settings, control::view, this::readiness, inFlight::count, metrics);
   }
 
   /**
@@ -76,16 +88,18 @@
     try {
       instance.control.start();
       instance.server.start().join();
+      instance.operators.start();
       instance.announce();
     } catch (PlatformException e) {
       instance.close();
       throw e;
     }
     Logger.info(
-        "event=started instance={} dataCentre={} callersPort={}",
+        "event=started instance={} dataCentre={} callersPort={} operatorsPort={}",
         settings.name(),
         settings.dataCentre(),
-        instance.callersPort());
+        instance.callersPort(),
+        instance.operatorsPort());
     return instance;
   }
 
@@ -106,6 +120,11 @@
     return server.activeLocalPort();
   }
 
+  /** Returns the port for operators. */
+  public int operatorsPort() {
+    return operators.port();
+  }
+
   /** Returns what the instance knows of the fleet at this moment. */
   public FleetView view() {
     return control.view();
@@ -128,16 +147,29 @@
   /** Stops at once; requests that run are cut. */
   @Override
   public void close() {
+    stopping = true;
     inFlight.cancelAll();
     control.close();
     server.stop().join();
+    operators.close();
     Logger.info("event=stopped instance={}", settings.name());
   }
 
+  private Readiness readiness() {
+    if (stopping) {
+      return new Readiness.NotReady("the instance is stopping");
+    }
+    if (control.view().config().version() == 0) {
+      return new Readiness.NotReady("no configuration is in force yet; apply an inventory");
+    }
+    return new Readiness.Ready();
+  }
+
   private final class ShutdownSteps implements GracefulShutdown.Steps {
 
     @Override
     public void announceLeaving() {
+      stopping = true;
       Thread.startVirtualThread(EntryInstance.this::tellPlatformThatLeaving);
     }
 
@@ -173,6 +205,7 @@
         settings.host(),
         callersPort(),
         control.peersPort(),
+        operatorsPort(),
         leaving);
   }
 
--- a/entry/src/test/java/org/bambooarch/entry/control/ControlLoopTest.java
+++ b/entry/src/test/java/org/bambooarch/entry/control/ControlLoopTest.java
@@ -79,7 +79,7 @@
 
   private ControlLoop join(String name, String dataCentre) throws Exception {
     ControlLoop loop = startLoop(name, dataCentre, List.of());
-    platform.announce(new InstanceRecord(name, dataCentre, HOST, 1, loop.peersPort(), false));
+    platform.announce(new InstanceRecord(name, dataCentre, HOST, 1, loop.peersPort(), 0, false));
     return loop;
   }
 
@@ -104,8 +104,8 @@
     // when: the restarted instance knows one address from its settings, and is known to nobody else
     List<InstanceRecord> seeds =
         List.of(
-            new InstanceRecord("entry-1", "kochi-a", HOST, 1, kochiA.peersPort(), false),
-            new InstanceRecord("entry-2", "kochi-b", HOST, 1, kochiB.peersPort(), false));
+            new InstanceRecord("entry-1", "kochi-a", HOST, 1, kochiA.peersPort(), 0, false),
+            new InstanceRecord("entry-2", "kochi-b", HOST, 1, kochiB.peersPort(), 0, false));
     ControlLoop restarted = startLoop("entry-3", "tvm-a", seeds);
     // then
     await(() -> restarted.view().config().version() == 1);
