--- a/entry/src/main/java/org/bambooarch/entry/EntryInstance.java
+++ b/entry/src/main/java/org/bambooarch/entry/EntryInstance.java
@@ -64,7 +64,7 @@
     this.platform =
         HttpPlatform.at(
             settings.platformUri(), Duration.ofMillis(settings.platformTimeoutMillis()));
-    this.control = ControlLoop.over(platform, keyCheck, clock);
+    this.control = ControlLoop.over(settings, platform, keyCheck, clock);
     this.requests =
         new RequestServices(
             settings.name(),
@@ -105,7 +105,7 @@
       instance.control.start();
       instance.server.start().join();
       instance.operators.start();
-      instance.platform.announce(instance.record(false));
+      instance.announce();
     } catch (PlatformException e) {
       instance.close();
       throw e;
@@ -119,6 +119,18 @@
     return instance;
   }
 
+  private void announce() throws PlatformException {
+    try {
+      platform.announce(record(false));
+    } catch (PlatformException e) {
+      if (settings.control().seedPeers().isEmpty()) {
+        throw e;
+      }
+      Logger.warn("event=start-not-announced reason=\"{}\"", e.getMessage());
+      control.announceLater(() -> platform.announce(record(false)));
+    }
+  }
+
   /** Returns the port for callers. */
   public int callersPort() {
     return server.activeLocalPort();
@@ -209,7 +221,7 @@
         settings.dataCentre(),
         settings.host(),
         callersPort(),
-        settings.peersPort(),
+        control.peersPort(),
         operatorsPort(),
         leaving);
   }
