Keep the package entry.request.target in the repository

Cause: the ignore rule 'target/' also matched a source package of that name, so that its classes were missing from every other checkout.

--- /dev/null
+++ b/entry/src/main/java/org/bambooarch/entry/request/target/TargetClients.java
@@ -0,0 +1,59 @@
+package org.bambooarch.entry.request.target;
+
+import com.linecorp.armeria.client.ClientFactory;
+import com.linecorp.armeria.client.WebClient;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.bambooarch.core.inventory.Server;
+
+/**
+ * HTTP clients of target servers.
+ *
+ * <p>Non-idempotent requests have connections of their own that are closed after a short idle time,
+ * so that such a request never goes over a connection that has been quiet for longer.
+ */
+public final class TargetClients implements AutoCloseable {
+
+  /** How long a connection for non-idempotent requests may be quiet. */
+  static final Duration ORDER_IDLE = Duration.ofSeconds(1);
+
+  private static final Duration READ_IDLE = Duration.ofSeconds(10);
+  private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+
+  private final ClientFactory reads = factory(READ_IDLE);
+  private final ClientFactory orders = factory(ORDER_IDLE);
+  private final Map<String, WebClient> readClients = new ConcurrentHashMap<>();
+  private final Map<String, WebClient> orderClients = new ConcurrentHashMap<>();
+
+  /** Returns the client for requests to a server. */
+  public WebClient clientOf(Server server, boolean idempotent) {
+    String uri = "h1c://" + authority(server);
+    Map<String, WebClient> clients = idempotent ? readClients : orderClients;
+    ClientFactory factory = idempotent ? reads : orders;
+    return clients.computeIfAbsent(uri, key -> client(key, factory));
+  }
+
+  @Override
+  public void close() {
+    reads.close();
+    orders.close();
+  }
+
+  private static String authority(Server server) {
+    String host = server.host().contains(":") ? "[" + server.host() + "]" : server.host();
+    return host + ":" + server.port();
+  }
+
+  private static ClientFactory factory(Duration idle) {
+    return ClientFactory.builder().idleTimeout(idle).connectTimeout(CONNECT_TIMEOUT).build();
+  }
+
+  private static WebClient client(String uri, ClientFactory factory) {
+    return WebClient.builder(uri)
+        .factory(factory)
+        .maxResponseLength(0)
+        .responseTimeoutMillis(0)
+        .build();
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/bambooarch/entry/request/target/TargetExchange.java
@@ -0,0 +1,170 @@
+package org.bambooarch.entry.request.target;
+
+import com.linecorp.armeria.client.UnprocessedRequestException;
+import com.linecorp.armeria.common.AggregatedHttpResponse;
+import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.HttpMethod;
+import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.common.RequestHeaders;
+import com.linecorp.armeria.common.RequestHeadersBuilder;
+import com.linecorp.armeria.common.ResponseHeaders;
+import com.linecorp.armeria.common.SplitHttpResponse;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.bambooarch.core.inventory.Server;
+import org.bambooarch.core.request.AttemptOutcome;
+import org.bambooarch.core.request.header.AnswerCheck;
+import org.bambooarch.core.request.header.HeaderField;
+import org.bambooarch.core.request.header.HeaderRules;
+import org.bambooarch.core.time.Clock;
+import org.bambooarch.entry.request.CallerRequest;
+
+/** Sends one request to one server and sorts out how that ended; blocks. */
+public final class TargetExchange {
+
+  private static final long MILLIS_PER_SECOND = 1_000;
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+
+  private final TargetClients clients;
+  private final Clock clock;
+
+  /** Creates exchanges over clients of the servers. */
+  public TargetExchange(TargetClients clients, Clock clock) {
+    this.clients = clients;
+    this.clock = clock;
+  }
+
+  /** How an exchange ended. */
+  public sealed interface Result {
+
+    /**
+     * The answer has begun, and it is the answer to this request.
+     *
+     * @param headers its headers
+     * @param split its body
+     */
+    record Begun(ResponseHeaders headers, SplitHttpResponse split) implements Result {}
+
+    /**
+     * The whole answer is here.
+     *
+     * @param answer the answer
+     */
+    record Whole(AggregatedHttpResponse answer) implements Result {}
+
+    /**
+     * There is no answer that may be passed on.
+     *
+     * @param outcome why
+     */
+    record Failed(AttemptOutcome outcome) implements Result {}
+  }
+
+  /** Sends the request and waits until its answer begins. */
+  public Result begin(CallerRequest request, Server server, long deadlineNanos)
+      throws InterruptedException {
+    HttpResponse response = send(request, server, deadlineNanos);
+    SplitHttpResponse split = response.split();
+    try {
+      ResponseHeaders headers = await(split.headers(), deadlineNanos);
+      AnswerCheck check = AnswerCheck.expecting(request.requestId());
+      if (check.onHeaders(headers.get(HeaderRules.REQUEST_ID, ""), OptionalLong.empty())
+          != AnswerCheck.Finding.GOOD) {
+        response.abort();
+        return new Result.Failed(new AttemptOutcome.BadAnswer(0));
+      }
+      if (isShed(headers, request.isIdempotent())) {
+        response.abort();
+        return new Result.Failed(new AttemptOutcome.Shed(retryAfterMillis(headers)));
+      }
+      return new Result.Begun(headers, split);
+    } catch (ExecutionException e) {
+      return failed(e.getCause(), server);
+    } catch (TimeoutException e) {
+      response.abort();
+      return new Result.Failed(new AttemptOutcome.TimedOut(0));
+    }
+  }
+
+  /** Sends the request and waits for the whole answer. */
+  public Result whole(CallerRequest request, Server server, long deadlineNanos)
+      throws InterruptedException {
+    HttpResponse response = send(request, server, deadlineNanos);
+    try {
+      AggregatedHttpResponse answer = await(response.aggregate(), deadlineNanos);
+      AnswerCheck check = AnswerCheck.expecting(request.requestId());
+      check.onHeaders(answer.headers().get(HeaderRules.REQUEST_ID, ""), lengthOf(answer.headers()));
+      check.onData(answer.content().length());
+      if (check.onEnd() != AnswerCheck.Finding.GOOD) {
+        return new Result.Failed(new AttemptOutcome.BadAnswer(0));
+      }
+      if (isShed(answer.headers(), request.isIdempotent())) {
+        return new Result.Failed(new AttemptOutcome.Shed(retryAfterMillis(answer.headers())));
+      }
+      return new Result.Whole(answer);
+    } catch (ExecutionException e) {
+      return failed(e.getCause(), server);
+    } catch (TimeoutException e) {
+      response.abort();
+      return new Result.Failed(new AttemptOutcome.TimedOut(0));
+    }
+  }
+
+  /** Returns the declared length of an answer. */
+  public static OptionalLong lengthOf(ResponseHeaders headers) {
+    long length = headers.contentLength();
+    return length < 0 ? OptionalLong.empty() : OptionalLong.of(length);
+  }
+
+  private HttpResponse send(CallerRequest request, Server server, long deadlineNanos) {
+    RequestHeadersBuilder headers =
+        RequestHeaders.builder(HttpMethod.valueOf(request.method()), request.pathAndQuery());
+    for (HeaderField field : request.targetHeaders()) {
+      headers.add(field.name(), field.value());
+    }
+    headers.set(HeaderRules.REQUEST_ID, request.requestId());
+    headers.set(HeaderRules.CUSTOMER, request.customer());
+    headers.set(HeaderRules.DEADLINE, Long.toString(remainingMillis(deadlineNanos)));
+    HttpRequest outgoing = HttpRequest.of(headers.build(), HttpData.wrap(request.body()));
+    HttpResponse response = clients.clientOf(server, request.isIdempotent()).execute(outgoing);
+    request.onSent(response);
+    return response;
+  }
+
+  private <T> T await(CompletableFuture<T> future, long deadlineNanos)
+      throws InterruptedException, ExecutionException, TimeoutException {
+    return future.get(Math.max(1, remainingMillis(deadlineNanos)), TimeUnit.MILLISECONDS);
+  }
+
+  private long remainingMillis(long deadlineNanos) {
+    return Math.max(0, (deadlineNanos - clock.monotonicNanos()) / NANOS_PER_MILLI);
+  }
+
+  private static Result failed(Throwable cause, Server server) {
+    if (cause instanceof UnprocessedRequestException) {
+      return new Result.Failed(new AttemptOutcome.NotSent());
+    }
+    return new Result.Failed(new AttemptOutcome.Lost(DeathProbe.isDead(server), 0));
+  }
+
+  private static boolean isShed(ResponseHeaders headers, boolean idempotent) {
+    HttpStatus status = headers.status();
+    boolean busy =
+        status.equals(HttpStatus.TOO_MANY_REQUESTS)
+            || status.equals(HttpStatus.SERVICE_UNAVAILABLE);
+    return busy && (idempotent || headers.get(HeaderRules.OUTCOME, "").equals("not-run"));
+  }
+
+  private static OptionalLong retryAfterMillis(ResponseHeaders headers) {
+    String value = headers.get("retry-after", "");
+    if (value.isEmpty() || value.length() > 6 || !value.chars().allMatch(Character::isDigit)) {
+      return OptionalLong.empty();
+    }
+    return OptionalLong.of(Long.parseLong(value) * MILLIS_PER_SECOND);
+  }
+}
