--- a/cli/src/main/java/org/bambooarch/cli/command/QuickstartCommand.java
+++ b/cli/src/main/java/org/bambooarch/cli/command/QuickstartCommand.java
@@ -42,7 +42,7 @@
     options
         .accepts("inventory", "inventory directory")
         .withRequiredArg()
-        .defaultsTo("examples/swatchnet");
+        .defaultsTo(defaultInventory());
     options
         .accepts("requests", "requests of each customer")
         .withRequiredArg()
@@ -51,6 +51,11 @@
     options.accepts("stay", "stay up until a signal and print curl lines");
   }
 
+  /** The script that starts the program tells it where the examples are. */
+  private static String defaultInventory() {
+    return Path.of(System.getProperty("bambooarch.home", ""), "examples", "swatchnet").toString();
+  }
+
   @Override
   public ExitCode run(OptionSet options, Console console) throws CommandException {
     Arguments.exactly(0, "no arguments", options);
--- /dev/null
+++ b/entry/src/main/java/org/bambooarch/entry/operators/package-info.java
@@ -0,0 +1,2 @@
+/** What an instance shows to operators: health, readiness, metrics and its state. */
+package org.bambooarch.entry.operators;
