Leave the resolving of lost answers to the repository

Change: the command no longer says that an answer was lost, because it cannot know; the test still demands the accepted version and one single change. A conflict names the change that took the version. Conclusion: one place decides what became of a change.

--- a/cli/src/main/java/org/bambooarch/cli/command/ApplyCommand.java
+++ b/cli/src/main/java/org/bambooarch/cli/command/ApplyCommand.java
@@ -52,8 +52,7 @@
                 PlatformOptions.author(options),
                 expectedVersion,
                 new ConfigChange.ReplaceInventory(wanted));
-    String readBack = accepted.answerLost() ? " (the answer was lost; read back)" : "";
-    console.line("accepted as version %d%s", accepted.version(), readBack);
+    console.line("accepted as version %d", accepted.version());
     return ExitCode.DONE;
   }
 }
--- a/cli/src/main/java/org/bambooarch/cli/config/ConfigSession.java
+++ b/cli/src/main/java/org/bambooarch/cli/config/ConfigSession.java
@@ -16,7 +16,7 @@
 
   private static final int CONFLICT_ATTEMPTS = 5;
   private static final String CONFLICT_MESSAGE =
-      "conflict: expected version %d, but version %d is accepted (change %s by %s);"
+      "conflict: expected version %d, but change %s by %s came first as version %d;"
           + " nothing was changed; run plan again";
   private static final String UNKNOWN_MESSAGE =
       "it is not known whether change %s was accepted (%s);"
@@ -98,9 +98,9 @@
               ExitCode.CONFLICT,
               CONFLICT_MESSAGE.formatted(
                   expectedVersion,
-                  conflict.other().version(),
                   conflict.other().changeId(),
-                  conflict.other().author()));
+                  conflict.other().author(),
+                  conflict.other().version()));
       case ProposalOutcome.NotApplied notApplied ->
           throw new CommandException(
               ExitCode.UNREACHABLE,
--- a/cli/src/main/java/org/bambooarch/cli/config/ProposalOutcome.java
+++ b/cli/src/main/java/org/bambooarch/cli/config/ProposalOutcome.java
@@ -9,14 +9,13 @@
    * The change is accepted.
    *
    * @param version version of the configuration after the change
-   * @param answerLost whether the answer was lost and the truth was read back
    */
-  record Accepted(long version, boolean answerLost) implements ProposalOutcome {}
+  record Accepted(long version) implements ProposalOutcome {}
 
   /**
    * Another change came first; nothing was changed.
    *
-   * @param other the newest change
+   * @param other the change that took the version
    */
   record Conflict(Head other) implements ProposalOutcome {}
 
