--- /dev/null
+++ b/cli/src/test/java/org/bambooarch/cli/PageCommandsTest.java
@@ -0,0 +1,176 @@
+package org.bambooarch.cli;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.linecorp.armeria.client.WebClient;
+import com.linecorp.armeria.common.AggregatedHttpResponse;
+import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.HttpMethod;
+import com.linecorp.armeria.common.RequestHeaders;
+import com.linecorp.armeria.common.RequestHeadersBuilder;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+import org.bambooarch.cli.quickstart.LoopbackFleet;
+import org.bambooarch.entry.EntryInstance;
+import org.bambooarch.inventory.InventoryDirectory;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Runs every command of the pages for operators and callers. */
+class PageCommandsTest {
+
+  private static final Path DOCS = Path.of("..", "docs");
+  private static final String CUSTOMER = "kasavu-exports";
+  private static final Pattern VERSION = Pattern.compile("--expect (\\d+)\\s*$");
+  private static final Pattern ARGUMENT = Pattern.compile("'([^']*)'|\"([^\"]*)\"|(\\S+)");
+  private static final Set<String> WITHOUT_PLATFORM = Set.of("validate", "call", "--help");
+  private static final Set<String> EVENTUAL = Set.of("status", "call", "dump");
+
+  @TempDir static Path inventory;
+  private static LoopbackFleet fleet;
+  private static String key;
+  private static String keyId = "";
+
+  @BeforeAll
+  static void startFleet() throws Exception {
+    fleet = LoopbackFleet.start(InventoryDirectory.read(InventoryCopy.SWATCHNET));
+    InventoryCopy.of(fleet, inventory);
+    key = fleet.keysByCustomer().get(CUSTOMER);
+  }
+
+  @AfterAll
+  static void stopFleet() {
+    fleet.close();
+  }
+
+  static List<Path> pages() throws IOException {
+    List<Path> pages = new ArrayList<>(List.of(DOCS.resolve("callers.md")));
+    try (Stream<Path> files = Files.list(DOCS.resolve("operators"))) {
+      files.filter(file -> file.toString().endsWith(".md")).sorted().forEach(pages::add);
+    }
+    return pages;
+  }
+
+  @ParameterizedTest
+  @MethodSource("pages")
+  @Timeout(120)
+  void should_succeed_when_the_commands_of_a_page_are_run(Path page) throws IOException {
+    for (String line : commands(page)) {
+      if (line.startsWith("curl")) {
+        curl(line);
+      } else {
+        bambooarch(line);
+      }
+    }
+  }
+
+  @Test
+  void should_run_daemons_in_the_script_when_pages_name_them() throws IOException {
+    assertThat(Path.of("..", "bin", "start-processes"))
+        .content()
+        .contains("entry --settings", "standin-platform", "standin-target");
+  }
+
+  private static List<String> commands(Path page) throws IOException {
+    List<String> commands = new ArrayList<>();
+    boolean inBlock = false;
+    for (String line : Files.readAllLines(page)) {
+      String text = line.strip();
+      if (text.startsWith("```")) {
+        inBlock = text.equals("```sh");
+      } else if (inBlock) {
+        assertThat(text).as(page.toString()).matches("(bin/bambooarch|curl) .*");
+        commands.add(text);
+      }
+    }
+    return commands;
+  }
+
+  private static void bambooarch(String line) {
+    String name = line.split(" ", -1)[1];
+    if (name.equals("entry")) {
+      return;
+    }
+    String runnable = substituted(line).replaceFirst("bin/bambooarch ", "");
+    if (name.equals("call")) {
+      runnable += " --entry " + fleet.callersUri(fleet.instances().getFirst());
+    } else if (!WITHOUT_PLATFORM.contains(name)) {
+      runnable += " --platform " + fleet.platformUri();
+    }
+    OperatorSession session = new OperatorSession();
+    ExitCode exitCode = session.run(runnable);
+    while (exitCode != ExitCode.DONE && EVENTUAL.contains(name)) {
+      exitCode = session.run(runnable);
+    }
+    assertThat(exitCode).as(line + "\n" + session.lastOutput()).isEqualTo(ExitCode.DONE);
+    if (runnable.startsWith("key issue")) {
+      key = session.issuedKey();
+      keyId = session.issuedId();
+    } else if (runnable.startsWith("key withdraw")) {
+      key = fleet.keysByCustomer().get(CUSTOMER);
+    }
+  }
+
+  private static void curl(String line) {
+    List<String> arguments = new ArrayList<>();
+    Matcher matcher = ARGUMENT.matcher(substituted(line));
+    while (matcher.find()) {
+      arguments.add(matcher.group().replaceAll("^['\"]|['\"]$", ""));
+    }
+    String method = "GET";
+    String body = "";
+    List<String[]> headers = new ArrayList<>();
+    for (int i = 1; i < arguments.size() - 1; i++) {
+      switch (arguments.get(i)) {
+        case "-X" -> method = arguments.get(++i);
+        case "-d" -> body = arguments.get(++i);
+        case "-H" -> headers.add(arguments.get(++i).split(": ", 2));
+        default -> assertThat(arguments.get(i)).isEqualTo("-s");
+      }
+    }
+    String url = arguments.getLast();
+    int pathAt = url.indexOf('/', "http://".length());
+    RequestHeadersBuilder builder =
+        RequestHeaders.builder(HttpMethod.valueOf(method), url.substring(pathAt));
+    headers.forEach(header -> builder.add(header[0], header[1]));
+    AggregatedHttpResponse response =
+        WebClient.of(url.substring(0, pathAt))
+            .execute(builder.build(), HttpData.ofUtf8(body))
+            .aggregate()
+            .join();
+    int expected = line.contains("Bearer wrong") ? 401 : 200;
+    assertThat(response.status().code()).as(line).isEqualTo(expected);
+  }
+
+  private static String substituted(String line) {
+    EntryInstance instance = fleet.instances().getFirst();
+    String text =
+        line.replace("http://127.0.0.1:20100", fleet.callersUri(instance))
+            .replace("http://127.0.0.1:20300", fleet.operatorsUri(instance))
+            .replace("examples/swatchnet", inventory.toString())
+            .replace("\"$KEY_ID\"", keyId)
+            .replace("\"$KEY\"", key)
+            .replace("$KEY", key);
+    return text.contains("$VERSION") ? text.replace("\"$VERSION\"", newestVersion()) : text;
+  }
+
+  private static String newestVersion() {
+    OperatorSession session = new OperatorSession();
+    session.run("plan " + inventory + " --platform " + fleet.platformUri());
+    Matcher matcher = VERSION.matcher(session.lastOutput());
+    assertThat(matcher.find()).as(session.lastOutput()).isTrue();
+    return matcher.group(1);
+  }
+}
