--- a/entry/src/test/java/org/bambooarch/entry/control/ControlLoopTest.java
+++ b/entry/src/test/java/org/bambooarch/entry/control/ControlLoopTest.java
@@ -12,6 +12,7 @@
 import org.bambooarch.core.inventory.DataCentre;
 import org.bambooarch.core.inventory.Inventory;
 import org.bambooarch.core.inventory.Region;
+import org.bambooarch.core.key.KeyCheck;
 import org.bambooarch.core.time.SystemClock;
 import org.bambooarch.entry.ControlSettings;
 import org.bambooarch.entry.EntrySettings;
@@ -71,7 +72,12 @@
         new ControlSettings(List.of("the secret of this test fleet"), "kochi", seeds);
     EntrySettings settings =
         new EntrySettings(name, dataCentre, HOST, 0, 0, 0, "http://unused", 2_000, control);
-    ControlLoop loop = ControlLoop.over(settings, platform, SystemClock.systemClock());
+    ControlLoop loop =
+        ControlLoop.over(
+            settings,
+            platform,
+            KeyCheck.acceptingNothing(SystemClock.systemClock()),
+            SystemClock.systemClock());
     loops.add(loop);
     loop.start();
     return loop;
