Show a request's life as a golden session over two instances

Cause: the entry's use of the decisions had no whole session as evidence. Change: RequestSessionTest runs orders, resends, a shedding and a crossing target, targets that die, a withdrawn key in mid-stream and a store outage against two instances over sockets, and compares with request-session.txt. A jqwik property covers header rules. Store back-off doubles up to 400 ms.

--- a/core/src/main/java/org/bambooarch/core/request/order/OrderAttempt.java
+++ b/core/src/main/java/org/bambooarch/core/request/order/OrderAttempt.java
@@ -19,7 +19,8 @@
  */
 public final class OrderAttempt {
 
-  private static final long BACKOFF_NANOS = 50_000_000L;
+  private static final long FIRST_BACKOFF_NANOS = 50_000_000L;
+  private static final long MAX_BACKOFF_NANOS = 400_000_000L;
   private static final long CLOSING_BACKOFF_NANOS = 500_000_000L;
 
   private enum Phase {
@@ -36,6 +37,7 @@
   private final DispatchPermit permit;
 
   private Phase phase = Phase.OPENING;
+  private long backoffNanos = FIRST_BACKOFF_NANOS;
   private Optional<Long> heldVersion = Optional.empty();
   private Optional<OrderRecord> closingRecord = Optional.empty();
 
@@ -185,7 +187,10 @@
     return new OrderStep.Closed();
   }
 
+  /** Doubles from call to call, so that waiting orders do not keep a store down that recovers. */
   private long backoffNanos() {
-    return clock.monotonicNanos() + BACKOFF_NANOS;
+    long untilNanos = clock.monotonicNanos() + backoffNanos;
+    backoffNanos = Math.min(2 * backoffNanos, MAX_BACKOFF_NANOS);
+    return untilNanos;
   }
 }
--- /dev/null
+++ b/core/src/test/java/org/bambooarch/core/request/header/HeaderRulesPropertyTest.java
@@ -0,0 +1,78 @@
+package org.bambooarch.core.request.header;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+
+class HeaderRulesPropertyTest {
+
+  private static final String KEY = "s3cret-of-the-caller";
+
+  @Property(tries = 2_000, seed = "42")
+  void should_show_no_key_and_no_listed_header_to_a_target(
+      @ForAll("headerLists") List<HeaderField> received) {
+    // given
+    boolean carriesOneKey = HeaderRules.findKey(received).key().filter(KEY::equals).isPresent();
+    List<String> listed =
+        received.stream()
+            .filter(field -> field.name().strip().equalsIgnoreCase("connection"))
+            .flatMap(field -> List.of(field.value().split(",")).stream())
+            .map(name -> name.strip().toLowerCase(Locale.ROOT))
+            .toList();
+    // when
+    List<HeaderField> passed = HeaderRules.towardsTarget(received);
+    // then
+    assertThat(passed).noneMatch(field -> field.name().matches("(?i)x-api-key|authorization"));
+    assertThat(passed)
+        .noneMatch(field -> field.name().matches("(?i)te|trailer|upgrade|x-customer"));
+    assertThat(passed).noneMatch(field -> listed.contains(field.name()));
+    if (carriesOneKey) {
+      assertThat(passed).noneMatch(field -> field.value().contains(KEY));
+    }
+  }
+
+  @Property(tries = 1_000, seed = "43")
+  void should_never_choose_between_two_different_keys(
+      @ForAll("headerLists") List<HeaderField> received) {
+    // given
+    List<HeaderField> twoKeys = new ArrayList<>(received);
+    twoKeys.add(new HeaderField("X-Api-Key", "one key"));
+    twoKeys.add(new HeaderField("x-aPI-key ", "another key"));
+    // then
+    assertThat(HeaderRules.findKey(twoKeys)).isInstanceOf(KeyHeader.Ambiguous.class);
+  }
+
+  @Provide
+  Arbitrary<List<HeaderField>> headerLists() {
+    Arbitrary<String> names =
+        Arbitraries.oneOf(
+            Arbitraries.of(
+                "x-api-key",
+                "X-API-Key",
+                " Authorization",
+                "connection",
+                "CONNECTION",
+                "TE",
+                "Trailer",
+                "Upgrade",
+                "X-Customer",
+                "x-note",
+                "accept",
+                "cookie"),
+            Arbitraries.strings().ofMaxLength(12));
+    Arbitrary<String> values =
+        Arbitraries.oneOf(
+            Arbitraries.of(
+                KEY, "Bearer " + KEY, "bearer  " + KEY, "note " + KEY, "x-note, close", "close"),
+            Arbitraries.strings().ofMaxLength(20));
+    return Combinators.combine(names, values).as(HeaderField::new).list().ofMaxSize(12);
+  }
+}
--- a/core/src/test/java/org/bambooarch/core/request/run/RunInstance.java
+++ b/core/src/test/java/org/bambooarch/core/request/run/RunInstance.java
@@ -153,8 +153,7 @@
     void opening(OrderAttempt attempt, OrderStep step) {
       switch (step) {
         case OrderStep.Call call ->
-            store.carryOut(
-                call, r -> inside(0, () -> opening(attempt, attempt.on(faulty(attempt, r)))));
+            store.carryOut(call, r -> inside(0, () -> opening(attempt, attempt.on(faulty(r)))));
         case OrderStep.Proceed proceed -> {
           permit = Optional.of(proceed.permit());
           go(life.start());
@@ -169,7 +168,7 @@
       }
     }
 
-    StoreReply faulty(OrderAttempt attempt, StoreReply reply) {
+    StoreReply faulty(StoreReply reply) {
       boolean believeBlindly = reply instanceof StoreReply.Lost && isOff(Protection.READ_BACK);
       return believeBlindly ? new StoreReply.Committed(0) : reply;
     }
--- a/entry/src/main/java/org/bambooarch/entry/request/AnswerRelay.java
+++ b/entry/src/main/java/org/bambooarch/entry/request/AnswerRelay.java
@@ -5,7 +5,7 @@
 import com.linecorp.armeria.common.HttpResponseWriter;
 import com.linecorp.armeria.common.ResponseHeaders;
 import com.linecorp.armeria.common.SplitHttpResponse;
-import java.io.IOException;
+import com.linecorp.armeria.common.stream.AbortedStreamException;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -14,6 +14,7 @@
 import org.bambooarch.entry.request.target.TargetExchange;
 import org.reactivestreams.Subscriber;
 import org.reactivestreams.Subscription;
+import org.tinylog.Logger;
 
 /**
  * Passes the body of an answer on, one part at a time as the caller takes it.
@@ -28,6 +29,7 @@
 
   private final HttpResponseWriter writer = HttpResponse.streaming();
   private final CompletableFuture<Boolean> ended = new CompletableFuture<>();
+  private final String requestId;
   private final AnswerCheck check;
   private final BooleanSupplier mayContinue;
   private Subscription subscription;
@@ -36,7 +38,8 @@
   private long partsAtLastCheck;
   private int checksWithoutProgress;
 
-  private AnswerRelay(AnswerCheck check, BooleanSupplier mayContinue) {
+  private AnswerRelay(String requestId, AnswerCheck check, BooleanSupplier mayContinue) {
+    this.requestId = requestId;
     this.check = check;
     this.mayContinue = mayContinue;
   }
@@ -54,7 +57,7 @@
       BooleanSupplier mayContinue) {
     AnswerCheck check = AnswerCheck.expecting(request.requestId());
     check.onHeaders(request.requestId(), TargetExchange.lengthOf(received));
-    AnswerRelay relay = new AnswerRelay(check, mayContinue);
+    AnswerRelay relay = new AnswerRelay(request.requestId(), check, mayContinue);
     relay.writer.write(towardsCaller);
     split.body().subscribe(relay);
     return relay;
@@ -129,7 +132,8 @@
 
   private void cut(String reason) {
     subscription.cancel();
-    writer.close(new IOException(reason));
+    writer.close(AbortedStreamException.get());
+    Logger.warn("event=answer-cut requestId={} reason=\"{}\"", requestId, reason);
     ended.complete(false);
   }
 
--- /dev/null
+++ b/entry/src/test/java/org/bambooarch/entry/request/RequestSessionTest.java
@@ -0,0 +1,201 @@
+package org.bambooarch.entry.request;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.linecorp.armeria.client.WebClient;
+import com.linecorp.armeria.common.AggregatedHttpResponse;
+import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.HttpMethod;
+import com.linecorp.armeria.common.RequestHeaders;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletionException;
+import org.bambooarch.core.config.ConfigChange;
+import org.bambooarch.core.inventory.Customer;
+import org.bambooarch.core.inventory.DataCentre;
+import org.bambooarch.core.inventory.Inventory;
+import org.bambooarch.core.inventory.PriorityClass;
+import org.bambooarch.core.inventory.Region;
+import org.bambooarch.core.inventory.Route;
+import org.bambooarch.core.inventory.Server;
+import org.bambooarch.core.inventory.Service;
+import org.bambooarch.core.time.SystemClock;
+import org.bambooarch.entry.EntryInstance;
+import org.bambooarch.entry.EntrySettings;
+import org.bambooarch.platform.config.ConfigRepository;
+import org.bambooarch.platform.http.HttpPlatform;
+import org.bambooarch.standin.PlatformFaults;
+import org.bambooarch.standin.StandinPlatform;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** A whole session over two entry instances, compared with its golden file. */
+class RequestSessionTest {
+
+  private static final String HOST = "127.0.0.1";
+  private static final String KEY = "secret-of-the-caller";
+  private static final String OTHER_KEY = "another-secret-of-it";
+
+  private final List<String> session = new ArrayList<>();
+  private final List<DyingTarget> dying = new ArrayList<>();
+  private StandinPlatform platform;
+  private ScriptedTarget target;
+  private ConfigRepository repository;
+  private EntryInstance first;
+  private EntryInstance second;
+
+  @BeforeEach
+  void startFleet() throws Exception {
+    platform = StandinPlatform.startOn(HOST, 0, 0, SystemClock.systemClock());
+    target = new ScriptedTarget(HOST);
+    for (int i = 0; i < 3; i++) {
+      dying.add(new DyingTarget(HOST));
+    }
+    String uri = "http://" + HOST + ":" + platform.port();
+    repository = new ConfigRepository(HttpPlatform.at(uri, Duration.ofSeconds(10)));
+    repository.propose(0, "c1", "test", new ConfigChange.ReplaceInventory(inventory()));
+    repository.propose(
+        1, "c2", "test", new ConfigChange.IssueKey(KeyDigests.digestOf(KEY), "balaramapuram"));
+    repository.propose(
+        2, "c3", "test", new ConfigChange.IssueKey(KeyDigests.digestOf(OTHER_KEY), "chendam"));
+    first = EntryInstance.start(settings("entry-1", uri));
+    second = EntryInstance.start(settings("entry-2", uri));
+  }
+
+  @AfterEach
+  void stopFleet() throws IOException {
+    first.close();
+    second.close();
+    target.close();
+    platform.close();
+    for (DyingTarget each : dying) {
+      each.close();
+    }
+  }
+
+  @Test
+  void should_match_the_golden_session() throws Exception {
+    step("an order is answered", order(first, "/orders/a", "k-1", "two metres"));
+    step(
+        "its answer is lost; resent to another", orderUntilKnown("/orders/a", "k-1", "two metres"));
+    step("the same key with another body", order(second, "/orders/a", "k-1", "nine metres"));
+    step("an answer too long for the table", order(first, "/orders/long", "k-2", ""));
+    step("the long answer again", orderUntilKnown("/orders/long", "k-2", ""));
+    step("the target sheds the order", order(first, "/orders/shed", "k-3", ""));
+    step("the target crosses answers", order(first, "/orders/foreign", "k-4", ""));
+    step("resent after a crossed answer", orderUntilKnown("/orders/foreign", "k-4", ""));
+    step("a request that kills its targets", crash(first));
+    step("the same request again", crash(first));
+    session.add("targets killed: " + dying.stream().filter(DyingTarget::died).count());
+    session.add("a withdrawn key cuts a stream: " + streamUntilCut());
+    platform.misbehave(new PlatformFaults(true, 0, false));
+    step("a new order in a store outage", order(first, "/orders/a", "k-5", "outage"));
+    platform.misbehave(PlatformFaults.none());
+    session.add("orders run: " + target.runs.get());
+    assertThat(String.join("\n", session) + "\n").isEqualTo(golden("request-session.txt"));
+    assertThat(target.seenHeaders).noneMatch(header -> header.contains(KEY));
+  }
+
+  private void step(String name, AggregatedHttpResponse response) {
+    String outcome = response.headers().get("bambooarch-outcome", "answered");
+    boolean refused = response.headers().contains("bambooarch-outcome");
+    String body = response.contentUtf8();
+    String shown = refused ? body.replaceAll(".*problem:([a-z-]+).*\\s*", "$1") : shortened(body);
+    session.add(name + ": " + response.status().code() + " " + outcome + " " + shown);
+  }
+
+  private static String shortened(String body) {
+    return body.length() > 40 ? body.length() + " bytes" : body;
+  }
+
+  private static AggregatedHttpResponse order(
+      EntryInstance entry, String path, String key, String body) {
+    RequestHeaders headers =
+        RequestHeaders.builder(HttpMethod.POST, path)
+            .add("X-API-Key", KEY)
+            .add("Idempotency-Key", key)
+            .add("X-Note", "my key is " + KEY)
+            .build();
+    return client(entry).execute(headers, HttpData.ofUtf8(body)).aggregate().join();
+  }
+
+  /** A resend may overtake the write of the outcome; then it is told that the order still runs. */
+  private AggregatedHttpResponse orderUntilKnown(String path, String key, String body) {
+    while (true) {
+      AggregatedHttpResponse response = order(second, path, key, body);
+      if (!response.contentUtf8().contains("still-running")) {
+        return response;
+      }
+    }
+  }
+
+  private static AggregatedHttpResponse crash(EntryInstance entry) {
+    RequestHeaders headers =
+        RequestHeaders.builder(HttpMethod.GET, "/crash/1").add("X-API-Key", KEY).build();
+    return client(entry).execute(headers).aggregate().join();
+  }
+
+  private String streamUntilCut() throws Exception {
+    RequestHeaders headers =
+        RequestHeaders.builder(HttpMethod.GET, "/books/stream").add("X-API-Key", OTHER_KEY).build();
+    var answer = client(first).execute(headers).aggregate();
+    repository.propose(2, "c3", "test", new ConfigChange.WithdrawKey(KeyDigests.digestOf(KEY)));
+    try {
+      answer.join();
+      return "whole answer";
+    } catch (CompletionException e) {
+      return "cut";
+    }
+  }
+
+  private static WebClient client(EntryInstance entry) {
+    return WebClient.builder("http://" + HOST + ":" + entry.callersPort())
+        .responseTimeoutMillis(0)
+        .build();
+  }
+
+  private static String golden(String name) throws IOException {
+    try (InputStream in = RequestSessionTest.class.getResourceAsStream("/golden/" + name)) {
+      return new String(in.readAllBytes(), StandardCharsets.UTF_8);
+    }
+  }
+
+  private static EntrySettings settings(String name, String uri) {
+    return new EntrySettings(name, "kochi-a", HOST, 0, 0, 0, uri, 1_000);
+  }
+
+  private Inventory inventory() {
+    List<Server> servers = new ArrayList<>();
+    servers.add(new Server("desk-1", "desk", "kochi-a", HOST, target.port(), 4, 100));
+    for (int i = 0; i < dying.size(); i++) {
+      servers.add(
+          new Server("fragile-" + i, "fragile", "kochi-a", HOST, dying.get(i).port(), 4, 100));
+    }
+    return new Inventory(
+        List.of(new Region("kochi")),
+        List.of(new DataCentre("kochi-a", "kochi")),
+        List.of(),
+        List.of(
+            new Service(
+                "desk",
+                List.of(route("orders", "POST", "/orders", false), browse("books", "/books"))),
+            new Service("fragile", List.of(browse("crash", "/crash")))),
+        servers,
+        List.of(new Customer("balaramapuram", 100, 100)),
+        List.of(),
+        List.of());
+  }
+
+  private static Route browse(String name, String prefix) {
+    return route(name, "GET", prefix, true);
+  }
+
+  private static Route route(String name, String method, String prefix, boolean idempotent) {
+    return new Route(name, method, prefix, idempotent, PriorityClass.COUNTER, 1_000, 20_000, false);
+  }
+}
