--- /dev/null
+++ b/core/src/main/java/org/bambooarch/core/block/internal/Starts.java
@@ -0,0 +1,66 @@
+package org.bambooarch.core.block.internal;
+
+/** The first addresses of the blocks of one chunk, in order. */
+sealed interface Starts {
+
+  /** Returns the first address of a row. */
+  long get(int row);
+
+  /** Returns the number of rows. */
+  int size();
+
+  /** Returns the bytes of one row. */
+  int rowBytes();
+
+  /** First addresses of 32 bits. */
+  record Narrow(int[] values) implements Starts {
+    @Override
+    public long get(int row) {
+      return Integer.toUnsignedLong(values[row]);
+    }
+
+    @Override
+    public int size() {
+      return values.length;
+    }
+
+    @Override
+    public int rowBytes() {
+      return Integer.BYTES;
+    }
+  }
+
+  /** First addresses of 64 bits. */
+  record Wide(long[] values) implements Starts {
+    @Override
+    public long get(int row) {
+      return values[row];
+    }
+
+    @Override
+    public int size() {
+      return values.length;
+    }
+
+    @Override
+    public int rowBytes() {
+      return Long.BYTES;
+    }
+  }
+
+  /** Returns rows of the columns in the narrowest form for addresses of the given bits. */
+  static Starts of(BlockColumns columns, int from, int to, int addressBits) {
+    if (addressBits == Integer.SIZE) {
+      int[] values = new int[to - from];
+      for (int row = from; row < to; row++) {
+        values[row - from] = (int) columns.start(row);
+      }
+      return new Narrow(values);
+    }
+    long[] values = new long[to - from];
+    for (int row = from; row < to; row++) {
+      values[row - from] = columns.start(row);
+    }
+    return new Wide(values);
+  }
+}
