--- a/core/src/main/java/org/bambooarch/core/budget/internal/ExchangeSystem.java
+++ b/core/src/main/java/org/bambooarch/core/budget/internal/ExchangeSystem.java
@@ -83,8 +83,11 @@
     return state.closed.contains(peer.id);
   }
 
-  /** Notes what peers hold; nothing when the fleet is asked for more than the rate allows. */
-  private static void noteTokensElsewhere(ResourceShare share, List<Peer> live) {
+  /**
+   * Notes what waiting requests can hope for: what peers hold and what the rate brings meanwhile;
+   * nothing when the fleet is asked for more than the rate allows and has no tokens left.
+   */
+  private void noteTokensElsewhere(ResourceShare share, List<Peer> live) {
     long elsewhere = 0;
     double demand = share.demandQuantaPerSecond();
     for (Peer peer : live) {
@@ -92,8 +95,14 @@
       demand += peer.ledger(share.name()).demandQuantaPerSecond();
     }
     boolean overRate = demand > OVERLOAD * share.quantaPerSecond();
-    boolean scarce = elsewhere < ShareAmount.WHOLE / SCARCE_PART;
-    share.setElsewhereUnits(overRate && scarce ? 0 : elsewhere);
+    if (overRate) {
+      boolean scarce = elsewhere < ShareAmount.WHOLE / SCARCE_PART;
+      share.setElsewhereUnits(scarce ? 0 : elsewhere);
+      return;
+    }
+    double waitSeconds = state.settings.maxWaitNanos() / NANOS_PER_SECOND;
+    double soon = share.quantaPerSecond() * waitSeconds * share.costUnits();
+    share.setElsewhereUnits(elsewhere + (long) soon);
   }
 
   private void serveWaiting(ResourceShare share, List<Peer> live, long nowNanos) {
--- a/core/src/main/java/org/bambooarch/core/budget/internal/ShareWeights.java
+++ b/core/src/main/java/org/bambooarch/core/budget/internal/ShareWeights.java
@@ -81,7 +81,10 @@
     return weights;
   }
 
-  /** Gives a few instances equal weights: those with most of the demand, then by rank. */
+  /**
+   * Gives weight to a few instances: one with most of the demand gets more, but so little that its
+   * death leaves enough; the others follow by rank.
+   */
   private static double[] concentrate(double[] weights, int[] ranks, double burstQuanta) {
     int holders = Math.max(1, (int) burstQuanta / QUANTA_PER_HOLDER);
     double[] few = new double[weights.length];
@@ -97,8 +100,9 @@
       if (best < 0) {
         break;
       }
-      few[best] = 1;
-      sum++;
+      boolean dominates = weights[best] > DOMINANT / weights.length;
+      few[best] = dominates ? Math.max(1, holders / 2.0) : 1;
+      sum += few[best];
     }
     return sum > 0 ? scaled(few, 1 / sum) : few;
   }
