--- /dev/null
+++ b/bench/src/main/java/org/bambooarch/bench/load/LargeAnswer.java
@@ -0,0 +1,129 @@
+package org.bambooarch.bench.load;
+
+import com.linecorp.armeria.client.WebClient;
+import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.HttpMethod;
+import com.linecorp.armeria.common.HttpObject;
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.HttpResponseWriter;
+import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.common.RequestHeaders;
+import com.linecorp.armeria.common.ResponseHeaders;
+import com.linecorp.armeria.server.Server;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.reactivestreams.Subscriber;
+import org.reactivestreams.Subscription;
+
+/**
+ * Streams one large answer through an entry instance and counts the bytes that arrive.
+ *
+ * <p>Run it with {@code bin/bench large-answer}, which gives the whole process, target and caller
+ * included, a heap of 256 MB.
+ */
+public final class LargeAnswer {
+
+  private static final long ANSWER_BYTES = 1L << 30;
+  private static final int CHUNK_BYTES = 64 * 1024;
+  private static final long TIMEOUT_SECONDS = 20;
+  private static final double BYTES_PER_MIB = 1 << 20;
+
+  private LargeAnswer() {}
+
+  /** Streams the answer once and prints what arrived. */
+  public static void main(String[] args) throws Exception {
+    Server target =
+        Server.builder()
+            .http(new InetSocketAddress(BenchEntry.HOST, 0))
+            .requestTimeoutMillis(0)
+            .service("prefix:/", (context, request) -> largeAnswer(request.headers()))
+            .build();
+    target.start().join();
+    try (BenchEntry entry = BenchEntry.before(List.of(target.activeLocalPort()), ANSWER_BYTES)) {
+      long startNanos = System.nanoTime();
+      long arrivedBytes = read(entry.port());
+      double elapsedSeconds = (System.nanoTime() - startNanos) / 1e9;
+      System.out.printf(
+          "expectedBytes=%d arrivedBytes=%d maxHeapMiB=%.0f mibPerSecond=%.0f%n",
+          ANSWER_BYTES,
+          arrivedBytes,
+          Runtime.getRuntime().maxMemory() / BYTES_PER_MIB,
+          arrivedBytes / BYTES_PER_MIB / elapsedSeconds);
+      if (arrivedBytes != ANSWER_BYTES) {
+        System.exit(1);
+      }
+    }
+    target.stop().join();
+    System.exit(0);
+  }
+
+  private static long read(int port) throws Exception {
+    WebClient client =
+        WebClient.builder("http://" + BenchEntry.HOST + ":" + port)
+            .maxResponseLength(0)
+            .responseTimeoutMillis(0)
+            .build();
+    RequestHeaders headers =
+        RequestHeaders.of(
+            HttpMethod.GET, BenchEntry.PATH, "authorization", "Bearer " + BenchEntry.KEY);
+    AtomicLong arrivedBytes = new AtomicLong();
+    HttpResponse answer = client.execute(headers);
+    answer.subscribe(new ByteCounter(arrivedBytes));
+    answer.whenComplete().get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    return arrivedBytes.get();
+  }
+
+  private static HttpResponse largeAnswer(RequestHeaders request) {
+    HttpResponseWriter writer = HttpResponse.streaming();
+    writer.write(
+        ResponseHeaders.builder(HttpStatus.OK)
+            .contentLength(ANSWER_BYTES)
+            .add("x-request-id", request.get("x-request-id", ""))
+            .build());
+    writeFrom(writer, 0);
+    return writer;
+  }
+
+  private static void writeFrom(HttpResponseWriter writer, long sentBytes) {
+    if (sentBytes >= ANSWER_BYTES) {
+      writer.close();
+      return;
+    }
+    writer.write(HttpData.wrap(new byte[CHUNK_BYTES]));
+    writer.whenConsumed().thenRun(() -> writeFrom(writer, sentBytes + CHUNK_BYTES));
+  }
+
+  /** Counts body bytes and takes one chunk at a time. */
+  private static final class ByteCounter implements Subscriber<HttpObject> {
+
+    private final AtomicLong bytes;
+    private Subscription subscription;
+
+    private ByteCounter(AtomicLong bytes) {
+      this.bytes = bytes;
+    }
+
+    @Override
+    public void onSubscribe(Subscription newSubscription) {
+      subscription = newSubscription;
+      subscription.request(1);
+    }
+
+    @Override
+    public void onNext(HttpObject part) {
+      if (part instanceof HttpData data) {
+        bytes.addAndGet(data.length());
+        data.close();
+      }
+      subscription.request(1);
+    }
+
+    @Override
+    public void onError(Throwable cause) {}
+
+    @Override
+    public void onComplete() {}
+  }
+}
--- a/bench/src/main/java/org/bambooarch/bench/load/PassThroughRatio.java
+++ b/bench/src/main/java/org/bambooarch/bench/load/PassThroughRatio.java
@@ -3,26 +3,9 @@
 import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.HttpMethod;
 import com.linecorp.armeria.common.RequestHeaders;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import org.bambooarch.bench.load.ClosedLoopLoad.LoadResult;
-import org.bambooarch.core.config.ConfigChange;
-import org.bambooarch.core.inventory.Customer;
-import org.bambooarch.core.inventory.DataCentre;
-import org.bambooarch.core.inventory.Inventory;
-import org.bambooarch.core.inventory.PriorityClass;
-import org.bambooarch.core.inventory.Region;
-import org.bambooarch.core.inventory.Route;
-import org.bambooarch.core.inventory.Server;
-import org.bambooarch.core.inventory.Service;
-import org.bambooarch.core.time.SystemClock;
-import org.bambooarch.entry.EntryInstance;
-import org.bambooarch.entry.EntrySettings;
-import org.bambooarch.entry.request.KeyDigests;
-import org.bambooarch.platform.config.ConfigRepository;
-import org.bambooarch.platform.http.HttpPlatform;
-import org.bambooarch.standin.StandinPlatform;
 import org.bambooarch.standin.StandinTarget;
 
 /**
@@ -33,15 +16,12 @@
  */
 public final class PassThroughRatio {
 
-  private static final String HOST = "127.0.0.1";
-  private static final String KEY = "bench-key";
   private static final int TARGETS = 6;
-  private static final int SLOTS_PER_TARGET = 1_000;
+  private static final long EXPECTED_ANSWER_BYTES = 200;
   private static final int IN_FLIGHT = 64;
   private static final int WARM_UP_REQUESTS = 60_000;
   private static final int REQUESTS = 60_000;
   private static final int ROUNDS = 7;
-  private static final long TIMEOUT_MILLIS = 10_000;
 
   private PassThroughRatio() {}
 
@@ -49,13 +29,12 @@
   public static void main(String[] args) throws Exception {
     List<StandinTarget> targets = new ArrayList<>();
     for (int i = 0; i < TARGETS; i++) {
-      targets.add(StandinTarget.startOn("target-" + i, HOST, 0));
+      targets.add(StandinTarget.startOn("target-" + i, BenchEntry.HOST, 0));
     }
     List<Integer> ports = targets.stream().map(StandinTarget::port).toList();
-    try (StandinPlatform platform = StandinPlatform.startOn(HOST, 0, 0, SystemClock.systemClock());
-        PassThrough baseline = PassThrough.startOn(HOST, ports);
-        EntryInstance entry = startEntry(platform, ports)) {
-      compare(baseline.port(), entry.callersPort());
+    try (PassThrough baseline = PassThrough.startOn(BenchEntry.HOST, ports);
+        BenchEntry entry = BenchEntry.before(ports, EXPECTED_ANSWER_BYTES)) {
+      compare(baseline.port(), entry.port());
     }
     targets.forEach(StandinTarget::close);
   }
@@ -95,40 +74,10 @@
   }
 
   private static LoadResult load(int port, int requests) throws InterruptedException {
-    WebClient client = WebClient.of("http://" + HOST + ":" + port);
+    WebClient client = WebClient.of("http://" + BenchEntry.HOST + ":" + port);
     RequestHeaders headers =
-        RequestHeaders.of(HttpMethod.GET, "/books/17", "authorization", "Bearer " + KEY);
+        RequestHeaders.of(
+            HttpMethod.GET, BenchEntry.PATH, "authorization", "Bearer " + BenchEntry.KEY);
     return new ClosedLoopLoad(client, headers, IN_FLIGHT, requests).run();
   }
-
-  private static EntryInstance startEntry(StandinPlatform platform, List<Integer> ports)
-      throws Exception {
-    String uri = "http://" + HOST + ":" + platform.port();
-    ConfigRepository repository =
-        new ConfigRepository(HttpPlatform.at(uri, Duration.ofMillis(TIMEOUT_MILLIS)));
-    repository.propose(0, "c1", "bench", new ConfigChange.ReplaceInventory(inventory(ports)));
-    String digest = KeyDigests.digestOf(KEY);
-    repository.propose(1, "c2", "bench", new ConfigChange.IssueKey(digest, "bench"));
-    return EntryInstance.start(
-        new EntrySettings("entry-1", "kochi-a", HOST, 0, 0, 0, uri, TIMEOUT_MILLIS));
-  }
-
-  private static Inventory inventory(List<Integer> ports) {
-    List<Server> servers = new ArrayList<>();
-    for (int port : ports) {
-      servers.add(
-          new Server("s" + port, "catalogue", "kochi-a", HOST, port, SLOTS_PER_TARGET, 1_000));
-    }
-    Route route =
-        new Route("books", "GET", "/books", true, PriorityClass.BROWSE, 200, TIMEOUT_MILLIS, false);
-    return new Inventory(
-        List.of(new Region("kochi")),
-        List.of(new DataCentre("kochi-a", "kochi")),
-        List.of(),
-        List.of(new Service("catalogue", List.of(route))),
-        servers,
-        List.of(new Customer("bench", 10_000_000, 10_000_000)),
-        List.of(),
-        List.of());
-  }
 }
--- a/core/src/main/java/org/bambooarch/core/request/AttemptOutcome.java
+++ b/core/src/main/java/org/bambooarch/core/request/AttemptOutcome.java
@@ -12,11 +12,12 @@
   record NotSent() implements AttemptOutcome {}
 
   /**
-   * The target refused the request and said that it did not run it.
+   * The target refused the request for lack of room.
    *
+   * @param saidNotRun whether the target said that it did not run the request
    * @param retryAfterMillis when the target wants to be asked again, in milliseconds, if it said so
    */
-  record Shed(OptionalLong retryAfterMillis) implements AttemptOutcome {}
+  record Shed(boolean saidNotRun, OptionalLong retryAfterMillis) implements AttemptOutcome {}
 
   /**
    * The connection ended before the whole answer arrived.
--- a/core/src/main/java/org/bambooarch/core/request/OutcomeUnknown.java
+++ b/core/src/main/java/org/bambooarch/core/request/OutcomeUnknown.java
@@ -17,6 +17,8 @@
   public enum Reason {
     /** The connection to the target ended before the whole answer arrived. */
     TARGET_LOST("target-lost", 502),
+    /** The target refused the request for lack of room and did not say that it did not run. */
+    TARGET_BUSY("target-busy", 503),
     /** The answer did not arrive before the deadline. */
     DEADLINE("deadline-after-dispatch", 504),
     /** The answer belongs to another request or is not whole. */
--- a/core/src/main/java/org/bambooarch/core/request/RequestLife.java
+++ b/core/src/main/java/org/bambooarch/core/request/RequestLife.java
@@ -94,7 +94,13 @@
     return switch (outcome) {
       case AttemptOutcome.Answered() -> new RequestStep.Finished();
       case AttemptOutcome.NotSent() -> retryUnsent();
-      case AttemptOutcome.Shed(OptionalLong retryAfterMillis) -> onShed(retryAfterMillis);
+      case AttemptOutcome.Shed(boolean saidNotRun, OptionalLong retryAfterMillis) -> {
+        if (saidNotRun) {
+          yield onShed(retryAfterMillis);
+        }
+        sentOnce = true;
+        yield retryOr(0, busy(retryAfterMillis));
+      }
       case AttemptOutcome.Lost(boolean died, long bytes) -> {
         sentOnce = true;
         yield died ? retryAfterSpread(bytes) : retryOr(bytes, lost());
@@ -198,6 +204,13 @@
         .retryAfterMillis(LOST_RETRY_AFTER_MILLIS);
   }
 
+  private static OutcomeUnknown busy(OptionalLong retryAfterMillis) {
+    return OutcomeUnknown.outcomeUnknown(
+            OutcomeUnknown.Reason.TARGET_BUSY,
+            "the target answered 429 or 503 and did not say that it left the request alone")
+        .retryAfterMillis(retryAfterMillis.orElse(DEFAULT_RETRY_AFTER_MILLIS));
+  }
+
   private static OutcomeUnknown badAnswer() {
     return OutcomeUnknown.outcomeUnknown(
         OutcomeUnknown.Reason.BAD_ANSWER,
--- a/core/src/test/java/org/bambooarch/core/request/run/RunInstance.java
+++ b/core/src/test/java/org/bambooarch/core/request/run/RunInstance.java
@@ -260,7 +260,7 @@
     AttemptOutcome outcomeOf(RunTarget.Reply targetReply) {
       return switch (targetReply) {
         case RunTarget.Reply.Refused() -> new AttemptOutcome.NotSent();
-        case RunTarget.Reply.Shed() -> new AttemptOutcome.Shed(OptionalLong.empty());
+        case RunTarget.Reply.Shed() -> new AttemptOutcome.Shed(true, OptionalLong.empty());
         case RunTarget.Reply.ConnectionLost(boolean died) -> new AttemptOutcome.Lost(died, 0);
         case RunTarget.Reply.Answer answer -> check(answer);
       };
--- a/entry/src/main/java/org/bambooarch/entry/request/target/TargetExchange.java
+++ b/entry/src/main/java/org/bambooarch/entry/request/target/TargetExchange.java
@@ -80,7 +80,7 @@
       }
       if (isShed(headers, request.isIdempotent())) {
         response.abort();
-        return new Result.Failed(new AttemptOutcome.Shed(retryAfterMillis(headers)));
+        return new Result.Failed(shed(headers));
       }
       return new Result.Begun(headers, split);
     } catch (ExecutionException e) {
@@ -104,7 +104,7 @@
         return new Result.Failed(new AttemptOutcome.BadAnswer(0));
       }
       if (isShed(answer.headers(), request.isIdempotent())) {
-        return new Result.Failed(new AttemptOutcome.Shed(retryAfterMillis(answer.headers())));
+        return new Result.Failed(shed(answer.headers()));
       }
       return new Result.Whole(answer);
     } catch (ExecutionException e) {
@@ -157,7 +157,15 @@
     boolean busy =
         status.equals(HttpStatus.TOO_MANY_REQUESTS)
             || status.equals(HttpStatus.SERVICE_UNAVAILABLE);
-    return busy && (idempotent || headers.get(HeaderRules.OUTCOME, "").equals("not-run"));
+    return busy && (idempotent || saysNotRun(headers));
+  }
+
+  private static boolean saysNotRun(ResponseHeaders headers) {
+    return headers.get(HeaderRules.OUTCOME, "").equals("not-run");
+  }
+
+  private static AttemptOutcome shed(ResponseHeaders headers) {
+    return new AttemptOutcome.Shed(saysNotRun(headers), retryAfterMillis(headers));
   }
 
   private static OptionalLong retryAfterMillis(ResponseHeaders headers) {
--- a/entry/src/test/java/org/bambooarch/entry/request/RequestSessionTest.java
+++ b/entry/src/test/java/org/bambooarch/entry/request/RequestSessionTest.java
@@ -144,7 +144,9 @@
     RequestHeaders headers =
         RequestHeaders.builder(HttpMethod.GET, "/books/stream").add("X-API-Key", OTHER_KEY).build();
     var answer = client(first).execute(headers).aggregate();
-    repository.propose(2, "c3", "test", new ConfigChange.WithdrawKey(KeyDigests.digestOf(KEY)));
+    ConfigChange withdrawal = new ConfigChange.WithdrawKey(KeyDigests.digestOf(OTHER_KEY));
+    assertThat(repository.propose(3, "c4", "test", withdrawal))
+        .isInstanceOf(ConfigRepository.ProposeResult.Accepted.class);
     try {
       answer.join();
       return "whole answer";
--- a/entry/src/test/java/org/bambooarch/entry/request/ScriptedTarget.java
+++ b/entry/src/test/java/org/bambooarch/entry/request/ScriptedTarget.java
@@ -11,12 +11,15 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.bambooarch.core.request.header.HeaderRules;
 
 /** A target whose paths answer, shed, cross answers or stream without end. */
 final class ScriptedTarget implements AutoCloseable {
 
+  private static final long PART_MILLIS = 100;
+
   final AtomicInteger runs = new AtomicInteger();
   final List<String> seenHeaders = new CopyOnWriteArrayList<>();
   private final Server server;
@@ -47,7 +50,7 @@
       case "/orders/foreign" -> answer(HttpStatus.OK, "someone else's id", "foreign");
       case "/orders/shed" -> shed(id);
       case "/orders/long" -> answer(HttpStatus.OK, id, "x".repeat(100_000));
-      case "/books/stream" -> stream(id);
+      case "/books/stream" -> stream(context, id);
       default -> answer(HttpStatus.OK, id, "run " + runs.incrementAndGet());
     };
   }
@@ -63,10 +66,13 @@
         .mapHeaders(h -> h.toBuilder().add(HeaderRules.OUTCOME, "not-run").build());
   }
 
-  private static HttpResponse stream(String id) {
+  private static HttpResponse stream(ServiceRequestContext context, String id) {
     HttpResponseWriter writer = HttpResponse.streaming();
     writer.write(ResponseHeaders.builder(HttpStatus.OK).add(HeaderRules.REQUEST_ID, id).build());
-    writer.write(HttpData.ofUtf8("first part"));
+    context
+        .eventLoop()
+        .scheduleAtFixedRate(
+            () -> writer.write(HttpData.ofUtf8("part")), 0, PART_MILLIS, TimeUnit.MILLISECONDS);
     return writer;
   }
 }
--- a/standin/src/main/java/org/bambooarch/standin/StandinPlatform.java
+++ b/standin/src/main/java/org/bambooarch/standin/StandinPlatform.java
@@ -79,9 +79,10 @@
     faults = newFaults;
   }
 
+  /** Stops listening; running requests end in the background. */
   @Override
   public void close() {
-    server.stop().join();
+    server.stop();
   }
 
   private HttpResponse serve(ServiceRequestContext context, HttpRequest request) {
--- a/standin/src/main/java/org/bambooarch/standin/StandinTarget.java
+++ b/standin/src/main/java/org/bambooarch/standin/StandinTarget.java
@@ -52,9 +52,10 @@
     return requests.get();
   }
 
+  /** Stops listening; running requests end in the background. */
   @Override
   public void close() {
-    server.stop().join();
+    server.stop();
   }
 
   private HttpResponse serve(ServiceRequestContext context, HttpRequest request) {
