--- a/cli/src/main/java/org/bambooarch/cli/config/ProposalOutcome.java
+++ b/cli/src/main/java/org/bambooarch/cli/config/ProposalOutcome.java
@@ -16,7 +16,7 @@
   /**
    * Another change came first; nothing was changed.
    *
-   * @param other the newest change
+   * @param other the change that took the version
    */
   record Conflict(Head other) implements ProposalOutcome {}
 
