--- a/cli/src/main/java/org/bambooarch/cli/config/ChangeProposer.java
+++ b/cli/src/main/java/org/bambooarch/cli/config/ChangeProposer.java
@@ -8,16 +8,12 @@
 import org.bambooarch.platform.config.ConfigRepository.ProposeResult;
 
 /**
- * Proposes changes and tells operators what became of them.
+ * Proposes changes and tells what became of them.
  *
- * <p>The repository resolves lost answers by reading back. If the platform stays silent, the same
- * change is proposed once more with the same identifier and the same expected version, which cannot
- * take effect twice.
+ * <p>The repository finds out by itself what became of a commit whose answer was lost.
  */
 public final class ChangeProposer {
 
-  private static final int ATTEMPTS = 2;
-
   private final ConfigRepository repository;
   private final String author;
 
@@ -30,19 +26,13 @@
   /** Proposes a change on top of an expected version. */
   public ProposalOutcome propose(long expectedVersion, String changeId, ConfigChange change)
       throws InvalidInventoryException {
-    boolean mayBeAccepted = false;
-    String lastReason = "";
-    for (int attempt = 0; attempt < ATTEMPTS; attempt++) {
-      try {
-        return outcome(repository.propose(expectedVersion, changeId, author, change));
-      } catch (PlatformException e) {
-        mayBeAccepted |= !(e instanceof NotAppliedException);
-        lastReason = e.getMessage();
-      }
+    try {
+      return outcome(repository.propose(expectedVersion, changeId, author, change));
+    } catch (NotAppliedException e) {
+      return new ProposalOutcome.NotApplied(e.getMessage());
+    } catch (PlatformException e) {
+      return new ProposalOutcome.Unknown(changeId, e.getMessage());
     }
-    return mayBeAccepted
-        ? new ProposalOutcome.Unknown(changeId, lastReason)
-        : new ProposalOutcome.NotApplied(lastReason);
   }
 
   private static ProposalOutcome outcome(ProposeResult result) {
