Share distant servers fairly and keep bulk behind people who wait

Cause: the limit counted requests on the way as if they held a slot, so an instance 55 ms away got a fraction of a server's throughput; every shed cut the limit and the ramp of a shift; long pauses left slots idle; requests of a drained region crossed the link to full servers; risen bulk took browsing's turns; turns by rate refused the smallest customer most. Change: limit and growth scale with the time on the way (Little's law), the limit falls in proportion to the share of sheds, pauses are at most 16 ms, the ramp grows by use alone, a drained region's instances leave look-ups, due bulk ranks above other bulk and below browsing, and turns go by the square root of the rate.

--- a/bench/src/main/java/org/bambooarch/bench/experiment/BaselineSteering.java
+++ b/bench/src/main/java/org/bambooarch/bench/experiment/BaselineSteering.java
@@ -102,6 +102,9 @@
   @Override
   public void tick() {}
 
+  @Override
+  public void poll() {}
+
   @Override
   public List<Request> takeReady() {
     return List.of();
--- a/bench/src/main/java/org/bambooarch/bench/experiment/Fleet.java
+++ b/bench/src/main/java/org/bambooarch/bench/experiment/Fleet.java
@@ -20,6 +20,10 @@
 
   final Steering[] steering;
   final boolean[] alive;
+
+  /** Instances that a drain rule takes out of look-ups; they still serve. */
+  final boolean[] drained;
+
   private final LookupPolicy[] lookups;
   private final Deployment deployment;
   private final Scenario scenario;
@@ -46,6 +50,7 @@
     steering = new Steering[deployment.instances()];
     lookups = new LookupPolicy[deployment.instances()];
     alive = new boolean[deployment.instances()];
+    drained = new boolean[deployment.instances()];
   }
 
   int size() {
@@ -69,7 +74,8 @@
     String place = dataCentreOf(instance);
     if (policy.isOurs()) {
       LibrarySteering ours =
-          new LibrarySteering(deployment, inventory, place, scenario.bulkIsDue(), clock, random);
+          new LibrarySteering(
+              deployment, inventory, place, scenario.bulkDueMinutes(), clock, random);
       steering[instance] = ours;
       lookups[instance] = LookupPolicy.create(inventory, ours.links(), lookupSettings, clock);
     } else {
@@ -97,7 +103,7 @@
               dataCentreOf(instance),
               "127.0.0.1",
               8_000 + instance,
-              alive[instance],
+              alive[instance] && !drained[instance],
               0));
     }
     for (LookupPolicy lookup : lookups) {
--- a/bench/src/main/java/org/bambooarch/bench/experiment/Simulation.java
+++ b/bench/src/main/java/org/bambooarch/bench/experiment/Simulation.java
@@ -1,5 +1,6 @@
 package org.bambooarch.bench.experiment;
 
+import java.util.Arrays;
 import java.util.List;
 import java.util.Random;
 import org.bambooarch.core.inventory.DrainRule;
@@ -19,6 +20,7 @@
   private static final int WARM_UP_SECONDS = 3;
   private static final int COOL_DOWN_SECONDS = 4;
   private static final long TICK_NANOS = 50_000_000L;
+  private static final long POLL_NANOS = 5_000_000L;
   private static final int AGGRESSOR = 3;
   private static final double HOME_SHARE = 0.6;
 
@@ -63,6 +65,7 @@
     fleet.publishInstances();
     scheduleArrivals();
     events.after(TICK_NANOS, this::tick);
+    events.after(POLL_NANOS, this::poll);
     events.after(NANOS_PER_SECOND, this::sendReports);
     new Faults(this).schedule();
     events.runUntil(DURATION_SECONDS * NANOS_PER_SECOND);
@@ -82,10 +85,13 @@
   void drain(DrainRule... rules) {
     Inventory changed = deployment.inventory(scenario.load(), rules);
     for (int instance = 0; instance < fleet.size(); instance++) {
+      String region = deployment.regions().get(fleet.regionOf(instance));
+      fleet.drained[instance] = Arrays.stream(rules).anyMatch(rule -> rule.name().equals(region));
       if (fleet.alive[instance]) {
         fleet.steering[instance].reconfigure(changed);
       }
     }
+    fleet.publishInstances();
   }
 
   Inventory inventory() {
@@ -147,13 +153,18 @@
 
   private void tick() {
     fleet.tick();
+    regionMeter.sample();
+    events.after(TICK_NANOS, this::tick);
+  }
+
+  private void poll() {
     for (int instance = 0; instance < fleet.size(); instance++) {
       if (fleet.alive[instance]) {
+        fleet.steering[instance].poll();
         flow.drainQueues(instance);
       }
     }
-    regionMeter.sample();
-    events.after(TICK_NANOS, this::tick);
+    events.after(POLL_NANOS, this::poll);
   }
 
   private void sendReports() {
--- a/bench/src/main/java/org/bambooarch/bench/experiment/Steering.java
+++ b/bench/src/main/java/org/bambooarch/bench/experiment/Steering.java
@@ -36,6 +36,9 @@
   /** Runs the systems of the control thread. */
   void tick();
 
+  /** Tries to dispatch waiting requests. */
+  void poll();
+
   /** Returns requests whose wait has ended with a server. */
   List<Request> takeReady();
 
--- a/core/src/main/java/org/bambooarch/core/admission/AdmissionQueue.java
+++ b/core/src/main/java/org/bambooarch/core/admission/AdmissionQueue.java
@@ -6,22 +6,21 @@
 import java.util.PriorityQueue;
 import java.util.function.Predicate;
 import org.bambooarch.core.inventory.Customer;
-import org.bambooarch.core.inventory.PriorityClass;
 import org.bambooarch.core.request.NotRun;
 import org.bambooarch.core.time.Clock;
 
 /**
  * The requests of one service that wait for room at this instance.
  *
- * <p>A higher rank goes first. Inside a rank, customers take turns in proportion to their rates
- * (start-time fair queueing; Goyal, Vin and Cheng, 1996), so that one customer's backlog delays
- * only itself. A request whose deadline cannot be met is refused on arrival, and one that waited in
- * vain is given back by {@link #expire}; both say when to come back.
+ * <p>A higher rank goes first. Inside a rank, customers take turns by weight (start-time fair
+ * queueing; Goyal, Vin and Cheng, 1996), so that one customer's backlog delays only itself. A
+ * request whose deadline cannot be met is refused on arrival, and one that waited in vain is given
+ * back by {@link #expire}; both say when to come back.
  *
  * <p>All methods may be called from any thread.
  *
  * <pre>{@code
- * Offer offer = queue.offer(request, customer, PriorityClass.COUNTER, deadlineNanos);
+ * Offer offer = queue.offer(request, customer, Rank.COUNTER, startByNanos);
  * queue.dispatch(waiting -> tryToSend(waiting.request()));
  * }</pre>
  */
@@ -30,7 +29,7 @@
   private static final Comparator<Waiting<?>> FAIR_ORDER =
       Comparator.<Waiting<?>>comparingDouble(Waiting::startTag)
           .thenComparingLong(Waiting::sequence);
-  private static final PriorityClass[] RANKS = PriorityClass.values();
+  private static final Rank[] RANKS = Rank.values();
 
   private final AdmissionSettings settings;
   private final Clock clock;
@@ -61,15 +60,16 @@
   /**
    * Returns an empty queue; a customer's row is its place in the list.
    *
-   * <p>Customers take turns in proportion to their declared rates. One more row, after the last
-   * customer, stands for routes open to all; it has the smallest weight.
+   * <p>Customers take turns in proportion to the square root of their declared rates: the arrivals
+   * of a small customer vary more in proportion, and turns by rate refuse it most. One more row,
+   * after the last customer, stands for routes open to all; it has the smallest weight.
    */
   public static <T> AdmissionQueue<T> create(
       AdmissionSettings settings, List<Customer> customers, Clock clock) {
     double[] weights = new double[customers.size() + 1];
     double smallest = Double.MAX_VALUE;
     for (int row = 0; row < customers.size(); row++) {
-      weights[row] = Math.max(1e-3, customers.get(row).requestsPerSecond());
+      weights[row] = Math.sqrt(Math.max(1e-3, customers.get(row).requestsPerSecond()));
       smallest = Math.min(smallest, weights[row]);
     }
     weights[customers.size()] = customers.isEmpty() ? 1 : smallest;
@@ -82,7 +82,7 @@
   }
 
   /** Returns whether requests of this rank or a higher one wait. */
-  public synchronized boolean hasWaitingUpTo(PriorityClass rank) {
+  public synchronized boolean hasWaitingUpTo(Rank rank) {
     for (int ahead = 0; ahead <= rank.ordinal(); ahead++) {
       if (!heaps.get(ahead).isEmpty()) {
         return true;
@@ -101,10 +101,10 @@
    *
    * @param request the request
    * @param customer row of the customer
-   * @param rank rank now, see {@link BulkRank}
+   * @param rank rank now, see {@link Rank#now}
    * @param startByNanos monotonic moment by which it must be dispatched to meet its deadline
    */
-  public synchronized Offer offer(T request, int customer, PriorityClass rank, long startByNanos) {
+  public synchronized Offer offer(T request, int customer, Rank rank, long startByNanos) {
     long now = clock.monotonicNanos();
     long expectedWait = expectedWaitNanos(customer, rank, now);
     if (startByNanos - now <= expectedWait) {
@@ -174,7 +174,7 @@
     return notRun(NotRun.Reason.NO_ROOM, "no room became free in time", wait);
   }
 
-  private void add(T request, int customer, PriorityClass rank, long now, long giveUpNanos) {
+  private void add(T request, int customer, Rank rank, long now, long giveUpNanos) {
     int row = rank.ordinal();
     double startTag = settings.isFair() ? nextStartTag(row, customer) : 0;
     heaps
@@ -204,7 +204,7 @@
   }
 
   /** Work ahead of the request: all of higher ranks, and its customer's fair part of its own. */
-  private long expectedWaitNanos(int customer, PriorityClass rank, long now) {
+  private long expectedWaitNanos(int customer, Rank rank, long now) {
     double ahead = 0;
     for (int higher = 0; higher < rank.ordinal(); higher++) {
       ahead += heaps.get(higher).size();
@@ -213,13 +213,13 @@
     return drainRate.nanosFor(ahead, now);
   }
 
-  private double fairTurnsAhead(int customer, PriorityClass rank) {
+  private double fairTurnsAhead(int customer, Rank rank) {
     int[] waiting = waitingByCustomer[rank.ordinal()];
-    double ownTurns = waiting[customer] + 1;
     double ahead = waiting[customer];
     for (int other = 0; other < waiting.length; other++) {
       if (other != customer) {
-        ahead += Math.min(waiting[other], ownTurns * weights[other] / weights[customer]);
+        double turns = 1 + waiting[customer] * weights[other] / weights[customer];
+        ahead += Math.min(waiting[other], turns);
       }
     }
     return ahead;
--- a/core/src/main/java/org/bambooarch/core/admission/AdmissionSettings.java
+++ b/core/src/main/java/org/bambooarch/core/admission/AdmissionSettings.java
@@ -1,7 +1,5 @@
 package org.bambooarch.core.admission;
 
-import org.bambooarch.core.inventory.PriorityClass;
-
 /**
  * Bounds of a queue.
  *
@@ -28,11 +26,11 @@
   }
 
   /** Returns the longest wait of a rank in nanoseconds. */
-  public long maxWaitNanos(PriorityClass rank) {
+  public long maxWaitNanos(Rank rank) {
     return switch (rank) {
       case COUNTER -> counterWaitNanos;
       case BROWSE -> browseWaitNanos;
-      case BULK -> bulkWaitNanos;
+      case DUE_BULK, BULK -> bulkWaitNanos;
     };
   }
 }
--- a/core/src/main/java/org/bambooarch/core/admission/Waiting.java
+++ b/core/src/main/java/org/bambooarch/core/admission/Waiting.java
@@ -1,7 +1,5 @@
 package org.bambooarch.core.admission;
 
-import org.bambooarch.core.inventory.PriorityClass;
-
 /**
  * A request in a queue.
  *
@@ -16,7 +14,7 @@
 public record Waiting<T>(
     T request,
     int customer,
-    PriorityClass rank,
+    Rank rank,
     long queuedNanos,
     long giveUpNanos,
     double startTag,
--- a/core/src/main/java/org/bambooarch/core/routing/RoutingSettings.java
+++ b/core/src/main/java/org/bambooarch/core/routing/RoutingSettings.java
@@ -5,7 +5,7 @@
  *
  * @param choices servers compared for each request; 2 is power of two choices
  * @param limitGrowthSlotsPerSecond additive growth of a server's limit while it is fully used
- * @param limitBackoff factor on a server's limit after it shed load
+ * @param limitBackoff part of a server's limit that is lost when it sheds all requests
  * @param maxEjectedShare largest part of a service's servers that may be ejected at once
  * @param consecutiveFailuresToEject failures in a row that eject a server
  * @param ejectionNanos first ejection time; doubles with each further ejection
@@ -34,8 +34,8 @@
   public static RoutingSettings defaults() {
     return new RoutingSettings(
         2,
-        2.0,
-        0.7,
+        4.0,
+        0.5,
         0.67,
         4,
         5_000 * NANOS_PER_MILLI,
@@ -43,7 +43,7 @@
         100 * NANOS_PER_MILLI,
         1_000 * NANOS_PER_MILLI,
         0.95,
-        0.6);
+        0.8);
   }
 
   /** Returns the same settings with another bound on ejected servers. */
--- a/core/src/main/java/org/bambooarch/core/routing/TargetChooser.java
+++ b/core/src/main/java/org/bambooarch/core/routing/TargetChooser.java
@@ -153,7 +153,6 @@
   /** Ends a request that the server refused to run for lack of room (429 or 503). */
   public void onShed(Chosen ended) {
     ended.cell().shed(clock.monotonicNanos());
-    ended.pool().addShed();
     endInPool(ended);
   }
 
--- a/core/src/main/java/org/bambooarch/core/routing/internal/PoolCell.java
+++ b/core/src/main/java/org/bambooarch/core/routing/internal/PoolCell.java
@@ -9,7 +9,6 @@
   private final AtomicInteger inFlight = new AtomicInteger();
   private final AtomicInteger noRoom = new AtomicInteger();
   private final AtomicInteger chosen = new AtomicInteger();
-  private final AtomicInteger sheds = new AtomicInteger();
 
   /** Creates a cell; remote says whether the region is another one than this instance's. */
   public PoolCell(boolean remote) {
@@ -59,18 +58,8 @@
     noRoom.incrementAndGet();
   }
 
-  /** Counts a request that a server here refused. */
-  public void addShed() {
-    sheds.incrementAndGet();
-  }
-
   /** Returns and clears the requests that found no room. */
   public int takeNoRoom() {
     return noRoom.getAndSet(0);
   }
-
-  /** Returns and clears the requests that were shed. */
-  public int takeSheds() {
-    return sheds.getAndSet(0);
-  }
 }
--- a/core/src/main/java/org/bambooarch/core/routing/internal/ServerCell.java
+++ b/core/src/main/java/org/bambooarch/core/routing/internal/ServerCell.java
@@ -7,7 +7,7 @@
 public final class ServerCell {
 
   private static final long FIRST_SHED_PAUSE_NANOS = 4_000_000L;
-  private static final int MAX_SHED_DOUBLINGS = 5;
+  private static final int MAX_SHED_DOUBLINGS = 2;
 
   private final AtomicInteger inFlight = new AtomicInteger();
   private final AtomicInteger answered = new AtomicInteger();
--- a/core/src/main/java/org/bambooarch/core/routing/internal/SpillSystem.java
+++ b/core/src/main/java/org/bambooarch/core/routing/internal/SpillSystem.java
@@ -14,7 +14,6 @@
 
   private static final double RAMP_GROWTH_PER_SECOND = 0.4;
   private static final double RAMP_DECAY_PER_SECOND = 0.05;
-  private static final double RAMP_BACKOFF = 0.8;
   private static final double RELAXED_SHARE = 0.8;
   private static final double SATURATED_NO_ROOM_SHARE = 0.3;
   private static final double NANOS_PER_SECOND = 1e9;
@@ -52,13 +51,33 @@
       boolean isRelaxed = local.inFlight() < RELAXED_SHARE * localLimit;
       state.relaxedNanos[service] = isRelaxed ? state.relaxedNanos[service] + elapsed : 0;
     }
-    if (localLimit == 0 || state.saturatedNanos[service] >= settings.spillAfterNanos()) {
+    boolean isSaturated =
+        state.saturatedNanos[service] >= spillAfterNanos(state, settings, service);
+    if (localLimit == 0 || isSaturated || isDraining(state, state.pools[service][0])) {
       state.spillOpen[service] = true;
     } else if (state.relaxedNanos[service] >= settings.spillEndsAfterNanos()) {
       state.spillOpen[service] = false;
     }
   }
 
+  /** Waiting for local room is better than a way that takes longer than the wait. */
+  private static long spillAfterNanos(TargetState state, RoutingSettings settings, int service) {
+    if (state.pools[service].length < 2) {
+      return settings.spillAfterNanos();
+    }
+    int nearest = state.pools[service][1].servers()[0];
+    return Math.max(settings.spillAfterNanos(), 2 * state.roundTripNanos[nearest]);
+  }
+
+  private static boolean isDraining(TargetState state, Pool pool) {
+    for (int server : pool.servers()) {
+      if (state.drained[server]) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   private static void updateRamps(TargetState state, int service, double elapsedSeconds) {
     for (int pool = 0; pool < state.pools[service].length; pool++) {
       if (!state.pools[service][pool].remote()) {
@@ -66,9 +85,7 @@
       }
       PoolCell cell = state.poolCells[service][pool];
       double ramp = state.poolRamp[service][pool];
-      if (cell.takeSheds() > 0) {
-        ramp *= RAMP_BACKOFF;
-      } else if (cell.takeNoRoom() > 0) {
+      if (cell.takeNoRoom() > 0) {
         ramp += RAMP_GROWTH_PER_SECOND * elapsedSeconds;
       } else if (cell.inFlight() == 0) {
         ramp -= RAMP_DECAY_PER_SECOND * elapsedSeconds;
--- a/core/src/main/java/org/bambooarch/core/routing/internal/TargetState.java
+++ b/core/src/main/java/org/bambooarch/core/routing/internal/TargetState.java
@@ -98,7 +98,7 @@
   /** Copies the row of a server that stays from the state before a change of configuration. */
   public void copyServer(int row, TargetState before, int rowBefore) {
     cells[row] = before.cells[rowBefore];
-    limit[row] = Math.min(slots[row], before.limit[rowBefore]);
+    limit[row] = before.limit[rowBefore];
     latencyNanos[row] = before.latencyNanos[rowBefore];
     answeredDecayed[row] = before.answeredDecayed[rowBefore];
     failedDecayed[row] = before.failedDecayed[rowBefore];
--- a/core/src/main/java/org/bambooarch/core/routing/internal/ViewBuilder.java
+++ b/core/src/main/java/org/bambooarch/core/routing/internal/ViewBuilder.java
@@ -47,7 +47,7 @@
     long slowStartLeft = state.slowStartEndsNanos[server] - nowNanos;
     if (slowStartLeft > 0) {
       double part = 1 - (double) slowStartLeft / settings.slowStartNanos();
-      limit = Math.min(limit, Math.max(1, state.slots[server] * part));
+      limit = Math.min(limit, Math.max(1, LimitSystem.mostInFlight(state, server) * part));
     }
     if (state.reportExpiresNanos[server] - nowNanos > 0) {
       limit = Math.min(limit, state.reportedCap[server]);
