Let operators try failures, and hold the pages' tables to the program

Cause: the stand-in platform could only be told to misbehave from Java code; the pages' lists of alerts, metrics and exit codes could drift from the code. Conclusion: series of the metrics start at zero, so that alerts see the first unknown outcome.

--- /dev/null
+++ b/cli/src/test/java/org/bambooarch/cli/OperatorTablesTest.java
@@ -0,0 +1,69 @@
+package org.bambooarch.cli;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.bambooarch.entry.EntrySettings;
+import org.bambooarch.entry.control.FleetView;
+import org.bambooarch.entry.operators.EntryMetrics;
+import org.bambooarch.entry.operators.InstancePages;
+import org.bambooarch.entry.operators.Readiness;
+import org.junit.jupiter.api.Test;
+
+/** Compares the tables of the operators' pages with what the program really has. */
+class OperatorTablesTest {
+
+  private static final Path PAGES = Path.of("..", "docs", "operators");
+  private static final Pattern ALERT = Pattern.compile("(?m)^      - alert: (\\w+)$");
+  private static final Pattern ALERT_ROW = Pattern.compile("(?m)^\\| `(\\w+)` \\|");
+  private static final Pattern METRIC = Pattern.compile("\\bbambooarch_[a-z_]+");
+  private static final Pattern HELP = Pattern.compile("(?m)^# TYPE (bambooarch_[a-z_]+) ");
+
+  @Test
+  void should_explain_each_alert_when_it_is_in_the_rules() throws IOException {
+    assertThat(all(ALERT_ROW, "alerts.md"))
+        .isNotEmpty()
+        .containsExactlyElementsOf(all(ALERT, "alerts.yaml"));
+  }
+
+  @Test
+  void should_name_real_metrics_when_rules_and_pages_do() throws IOException {
+    Set<String> registered = registeredMetrics();
+    assertThat(all(METRIC, "dump-and-metrics.md")).isEqualTo(registered);
+    assertThat(registered).containsAll(all(METRIC, "alerts.yaml"));
+  }
+
+  @Test
+  void should_list_each_exit_code_when_the_index_does() throws IOException {
+    for (ExitCode code : ExitCode.values()) {
+      assertThat(PAGES.resolve("index.md")).content().contains("| " + code.code() + " | ");
+    }
+  }
+
+  private static Set<String> registeredMetrics() throws IOException {
+    EntryMetrics metrics = new EntryMetrics();
+    EntrySettings settings =
+        new EntrySettings("entry-1", "kochi-a", "127.0.0.1", 0, 0, 0, "http://127.0.0.1:1", 1);
+    InstancePages.serverFor(settings, FleetView::empty, Readiness.Ready::new, () -> 0, metrics);
+    return matches(HELP, metrics.toText());
+  }
+
+  private static Set<String> all(Pattern pattern, String page) throws IOException {
+    return matches(pattern, Files.readString(PAGES.resolve(page)));
+  }
+
+  private static Set<String> matches(Pattern pattern, String text) {
+    Set<String> found = new TreeSet<>();
+    Matcher matcher = pattern.matcher(text);
+    while (matcher.find()) {
+      found.add(matcher.group(matcher.groupCount()));
+    }
+    return found;
+  }
+}
--- a/entry/src/main/java/org/bambooarch/entry/operators/EntryMetrics.java
+++ b/entry/src/main/java/org/bambooarch/entry/operators/EntryMetrics.java
@@ -9,6 +9,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.function.DoubleSupplier;
 import org.bambooarch.entry.request.ProblemResponses;
 
@@ -24,6 +25,8 @@
     0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 60, 600
   };
 
+  private static final List<String> OUTCOMES = List.of("answered", "not-run", "unknown");
+
   private final PrometheusRegistry registry = new PrometheusRegistry();
   private final PrometheusTextFormatWriter writer =
       PrometheusTextFormatWriter.builder().setIncludeCreatedTimestamps(false).build();
@@ -42,6 +45,14 @@
           .labelNames("outcome")
           .register(registry);
 
+  /** Creates metrics whose series start at zero, so that the first increase is seen. */
+  public EntryMetrics() {
+    requests.initLabelValues("200", "answered");
+    for (String outcome : OUTCOMES) {
+      latency.initLabelValues(outcome);
+    }
+  }
+
   /** Registers a value that is read whenever the metrics are. */
   public EntryMetrics gauge(String name, String help, DoubleSupplier value) {
     GaugeWithCallback.builder()
--- a/inventory/src/main/java/org/bambooarch/inventory/InvalidInventoryException.java
+++ b/inventory/src/main/java/org/bambooarch/inventory/InvalidInventoryException.java
@@ -22,7 +22,7 @@
     this.findings = List.of(new Finding("stored configuration", "", message));
   }
 
-  /** Returns all findings in the order of the files. */
+  /** Returns all findings in the order in which they were found. */
   public List<Finding> findings() {
     return findings;
   }
--- a/standin/src/main/java/org/bambooarch/standin/StandinPlatform.java
+++ b/standin/src/main/java/org/bambooarch/standin/StandinPlatform.java
@@ -34,6 +34,9 @@
  */
 public final class StandinPlatform implements AutoCloseable {
 
+  /** Path that takes the faults as JSON, also while the stand-in is down. */
+  public static final String FAULTS_PATH = "/standin/faults";
+
   private static final int MAX_OBJECT_BYTES = 1 << 30;
 
   private record Announcement(InstanceRecord instance, long visibleFromNanos) {}
@@ -85,6 +88,9 @@
   }
 
   private HttpResponse serve(ServiceRequestContext context, HttpRequest request) {
+    if (context.path().equals(FAULTS_PATH)) {
+      return HttpResponse.of(request.aggregate().thenApply(this::changeFaults));
+    }
     PlatformFaults current = faults;
     if (current.down()) {
       return HttpResponse.of(HttpStatus.SERVICE_UNAVAILABLE);
@@ -97,6 +103,15 @@
     return HttpResponse.delayed(response, Duration.ofMillis(current.delayMillis()));
   }
 
+  private HttpResponse changeFaults(AggregatedHttpRequest request) {
+    try {
+      faults = MAPPER.readValue(request.content().array(), PlatformFaults.class);
+      return HttpResponse.of(HttpStatus.NO_CONTENT);
+    } catch (IOException e) {
+      return HttpResponse.of(HttpStatus.BAD_REQUEST, MediaType.PLAIN_TEXT_UTF_8, e.getMessage());
+    }
+  }
+
   private HttpResponse answer(
       ServiceRequestContext context, AggregatedHttpRequest request, PlatformFaults current) {
     try {
