Keep peers' secrets out of the dump and show the spread and the peers

Cause: the dump wrote the whole settings, which now hold the secrets that the instances share; the quickstart's instances had no peers. Change: the dump holds a settings section without secrets and sections for the spread of the configuration and for peers, with metrics beside; settings may leave out lists and nested records; the quickstart and the example settings give the instances peers. Conclusion: a test holds that neither digests nor secrets are dumped.

--- a/cli/src/main/java/org/bambooarch/cli/config/SettingsFile.java
+++ b/cli/src/main/java/org/bambooarch/cli/config/SettingsFile.java
@@ -17,6 +17,7 @@
 import java.nio.file.Path;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
 import org.bambooarch.cli.CommandException;
 import org.bambooarch.cli.ExitCode;
@@ -27,8 +28,8 @@
 /**
  * Reads the JSON settings of a process into a record.
  *
- * <p>Every component of the record is a required field and no other field is allowed. All findings
- * are reported together.
+ * <p>Every text, number and truth value of the record is a required field; lists and nested records
+ * may be absent. No other field is allowed. All findings are reported together.
  *
  * <pre>{@code
  * EntrySettings settings = SettingsFile.read(Path.of("entry-1.json"), EntrySettings.class);
@@ -95,16 +96,27 @@
   private static void checkField(
       JsonNode settings, RecordComponent component, Location where, Findings findings) {
     JsonNode value = settings.get(component.getName());
+    Class<?> type = component.getType();
     if (value == null) {
-      findings.add(missingField(where, component.getName()));
+      if (!isOptional(type)) {
+        findings.add(missingField(where, component.getName()));
+      }
+      return;
+    }
+    if (type.isRecord()) {
+      check(value, type.asSubclass(Record.class), where.child(component.getName()), findings);
       return;
     }
-    if (!fits(value, component.getType())) {
-      String expected = "a value of type " + component.getType().getSimpleName();
+    if (!fits(value, type)) {
+      String expected = "a value of type " + type.getSimpleName();
       findings.add(wrongType(where.child(component.getName()), expected, value));
     }
   }
 
+  private static boolean isOptional(Class<?> type) {
+    return type.isRecord() || List.class.isAssignableFrom(type);
+  }
+
   private static boolean fits(JsonNode value, Class<?> type) {
     if (type == String.class) {
       return value.isTextual();
--- a/cli/src/main/java/org/bambooarch/cli/quickstart/LoopbackFleet.java
+++ b/cli/src/main/java/org/bambooarch/cli/quickstart/LoopbackFleet.java
@@ -18,6 +18,7 @@
 import org.bambooarch.core.inventory.Region;
 import org.bambooarch.core.inventory.Server;
 import org.bambooarch.core.time.SystemClock;
+import org.bambooarch.entry.ControlSettings;
 import org.bambooarch.entry.EntryInstance;
 import org.bambooarch.entry.EntrySettings;
 import org.bambooarch.entry.request.KeyDigests;
@@ -45,6 +46,7 @@
   private final ConfigRepository repository;
   private final List<EntryInstance> instances = new ArrayList<>();
   private final Map<String, String> keysByCustomer = new LinkedHashMap<>();
+  private final String peerSecret = UUID.randomUUID().toString();
   private long version;
 
   private LoopbackFleet(Inventory declared) {
@@ -136,8 +138,10 @@
     try (ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor()) {
       instances.forEach(instance -> threads.execute(instance::close));
     }
-    targets.close();
-    platform.close();
+    try (ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor()) {
+      threads.execute(targets::close);
+      threads.execute(platform::close);
+    }
   }
 
   private void issueKey(String customer) throws InvalidInventoryException, IOException {
@@ -156,7 +160,9 @@
             0,
             0,
             platformUri(),
-            PLATFORM_TIMEOUT_MILLIS);
+            PLATFORM_TIMEOUT_MILLIS,
+            new ControlSettings(
+                List.of(peerSecret), inventory.regions().getFirst().name(), List.of()));
     instances.add(EntryInstance.start(settings));
   }
 
--- a/cli/src/test/java/org/bambooarch/cli/OperatorTablesTest.java
+++ b/cli/src/test/java/org/bambooarch/cli/OperatorTablesTest.java
@@ -5,15 +5,19 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import org.bambooarch.core.key.KeyCheck;
+import org.bambooarch.core.time.SystemClock;
 import org.bambooarch.entry.EntrySettings;
-import org.bambooarch.entry.control.FleetView;
+import org.bambooarch.entry.control.ControlLoop;
 import org.bambooarch.entry.operators.EntryMetrics;
 import org.bambooarch.entry.operators.InstancePages;
 import org.bambooarch.entry.operators.Readiness;
+import org.bambooarch.platform.http.HttpPlatform;
 import org.junit.jupiter.api.Test;
 
 /** Compares the tables of the operators' pages with what the program really has. */
@@ -50,8 +54,13 @@
     EntryMetrics metrics = new EntryMetrics();
     EntrySettings settings =
         new EntrySettings("entry-1", "kochi-a", "127.0.0.1", 0, 0, 0, "http://127.0.0.1:1", 1);
-    InstancePages.serverFor(settings, FleetView::empty, Readiness.Ready::new, () -> 0, metrics);
-    return matches(HELP, metrics.toText());
+    KeyCheck keyCheck = KeyCheck.acceptingNothing(SystemClock.systemClock());
+    HttpPlatform platform = HttpPlatform.at(settings.platformUri(), Duration.ofMillis(1));
+    try (ControlLoop control =
+        ControlLoop.over(settings, platform, keyCheck, SystemClock.systemClock())) {
+      InstancePages.serverFor(settings, control, Readiness.Ready::new, () -> 0, metrics);
+      return matches(HELP, metrics.toText());
+    }
   }
 
   private static Set<String> all(Pattern pattern, String page) throws IOException {
--- a/entry/src/main/java/org/bambooarch/entry/EntryInstance.java
+++ b/entry/src/main/java/org/bambooarch/entry/EntryInstance.java
@@ -91,7 +91,7 @@
             .decorator(inFlight.countingDecorator())
             .build();
     this.operators =
-        InstancePages.serverFor(settings, control::view, this::readiness, inFlight::count, metrics);
+        InstancePages.serverFor(settings, control, this::readiness, inFlight::count, metrics);
   }
 
   /**
--- a/entry/src/main/java/org/bambooarch/entry/operators/InstancePages.java
+++ b/entry/src/main/java/org/bambooarch/entry/operators/InstancePages.java
@@ -2,30 +2,29 @@
 
 import java.util.function.IntSupplier;
 import java.util.function.Supplier;
+import org.bambooarch.core.config.SpreadStatus;
 import org.bambooarch.entry.EntrySettings;
+import org.bambooarch.entry.control.ControlLoop;
 import org.bambooarch.entry.control.FleetView;
+import org.bambooarch.peer.PeerStatus;
 
 /** Puts the sections and metrics together that every entry instance shows to operators. */
 public final class InstancePages {
 
+  private static final double NANOS_PER_SECOND = 1e9;
+
   private InstancePages() {}
 
   /** Returns the operators' server of an instance, not started yet. */
   public static OperatorsServer serverFor(
       EntrySettings settings,
-      Supplier<FleetView> views,
+      ControlLoop control,
       Supplier<Readiness> readiness,
       IntSupplier runningRequests,
       EntryMetrics metrics) {
+    registerConfiguration(metrics, control::spreadStatus);
+    registerFleet(metrics, control);
     metrics
-        .gauge(
-            "bambooarch_configuration_version",
-            "Version of the configuration in force.",
-            () -> views.get().config().version())
-        .gauge(
-            "bambooarch_instances_listed",
-            "Instances that the platform listed last.",
-            () -> views.get().instances().size())
         .gauge(
             "bambooarch_requests_running",
             "Requests that run on this instance now.",
@@ -34,14 +33,49 @@
             "bambooarch_ready",
             "Whether the instance takes new requests: 1 or 0.",
             () -> readiness.get() instanceof Readiness.Ready ? 1 : 0);
+    Supplier<FleetView> views = control::view;
     StateDump dump =
         new StateDump()
-            .add("settings", () -> settings)
+            .add("settings", () -> StateSections.settings(settings))
             .add("readiness", readiness)
             .add("configuration", () -> StateSections.configuration(views.get().config()))
+            .add("spread", control::spreadStatus)
             .add("instances", () -> views.get().instances())
+            .add("peers", control::peerStatuses)
             .add("requestsRunning", runningRequests::getAsInt)
             .add("process", StateSections::process);
     return OperatorsServer.on(settings.host(), settings.operatorsPort(), readiness, dump, metrics);
   }
+
+  private static void registerConfiguration(EntryMetrics metrics, Supplier<SpreadStatus> status) {
+    metrics
+        .gauge(
+            "bambooarch_configuration_version",
+            "Version of the configuration in force.",
+            () -> status.get().version())
+        .gauge(
+            "bambooarch_configuration_known_version",
+            "Highest version known to be accepted.",
+            () -> status.get().knownHeadVersion())
+        .gauge(
+            "bambooarch_configuration_proof_age_seconds",
+            "Age of the last proof by the table that the version in force is newest; -1 for none.",
+            () -> ageSeconds(status.get().headAgeNanos()));
+  }
+
+  private static void registerFleet(EntryMetrics metrics, ControlLoop control) {
+    metrics
+        .gauge(
+            "bambooarch_instances_listed",
+            "Instances that the platform listed last.",
+            () -> control.view().instances().size())
+        .gauge(
+            "bambooarch_peers_connected",
+            "Other instances to which messages can be sent now.",
+            () -> control.peerStatuses().stream().filter(PeerStatus::connected).count());
+  }
+
+  private static double ageSeconds(long nanos) {
+    return nanos < 0 ? -1 : nanos / NANOS_PER_SECOND;
+  }
 }
--- a/entry/src/main/java/org/bambooarch/entry/operators/StateSections.java
+++ b/entry/src/main/java/org/bambooarch/entry/operators/StateSections.java
@@ -8,6 +8,7 @@
 import org.bambooarch.core.config.IssuedKey;
 import org.bambooarch.core.inventory.DrainRule;
 import org.bambooarch.core.inventory.Inventory;
+import org.bambooarch.entry.EntrySettings;
 
 /** The sections of a state dump that every process has. */
 public final class StateSections {
@@ -42,6 +43,24 @@
       Map<String, Integer> validKeysByCustomer,
       int withdrawnKeys) {}
 
+  /**
+   * Settings of the process, without its secrets.
+   *
+   * @param name unique name of the instance
+   * @param dataCentre name of its data centre
+   * @param host IP number on which it listens
+   * @param platformUri base URI of the platform's services
+   * @param storeRegion region that holds the platform's store
+   * @param peerSecrets number of secrets that it accepts from other instances
+   */
+  public record SettingsSection(
+      String name,
+      String dataCentre,
+      String host,
+      String platformUri,
+      String storeRegion,
+      int peerSecrets) {}
+
   /**
    * Summary of the running process.
    *
@@ -51,6 +70,17 @@
    */
   public record ProcessSection(long uptimeMillis, long heapUsedKibibytes, int threads) {}
 
+  /** Returns the settings that operators may see. */
+  public static SettingsSection settings(EntrySettings settings) {
+    return new SettingsSection(
+        settings.name(),
+        settings.dataCentre(),
+        settings.host(),
+        settings.platformUri(),
+        settings.control().storeRegion(),
+        settings.control().peerSecrets().size());
+  }
+
   /** Returns the summary of a configuration. */
   public static ConfigurationSection configuration(ConfigState config) {
     Map<String, Integer> validKeys = new TreeMap<>();
--- a/entry/src/test/java/org/bambooarch/entry/operators/OperatorsServerTest.java
+++ b/entry/src/test/java/org/bambooarch/entry/operators/OperatorsServerTest.java
@@ -4,8 +4,11 @@
 
 import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.AggregatedHttpResponse;
+import java.util.List;
 import org.bambooarch.core.config.ConfigChange;
 import org.bambooarch.core.config.ConfigState;
+import org.bambooarch.entry.ControlSettings;
+import org.bambooarch.entry.EntrySettings;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -13,6 +16,7 @@
 class OperatorsServerTest {
 
   private static final String DIGEST = "0123456789abcdef";
+  private static final String SECRET = "the secret of this test fleet";
 
   private volatile Readiness readiness = new Readiness.Ready();
   private OperatorsServer server;
@@ -22,8 +26,21 @@
     ConfigState config =
         ConfigState.initial().apply(new ConfigChange.IssueKey(DIGEST, "vypin-cut-and-stitch"));
     EntryMetrics metrics = new EntryMetrics().gauge("bambooarch_test_value", "A value.", () -> 7);
+    EntrySettings settings =
+        new EntrySettings(
+            "entry-1",
+            "kochi-a",
+            "127.0.0.1",
+            0,
+            0,
+            0,
+            "http://127.0.0.1:1",
+            1,
+            new ControlSettings(List.of(SECRET), "kochi", List.of()));
     StateDump dump =
-        new StateDump().add("configuration", () -> StateSections.configuration(config));
+        new StateDump()
+            .add("settings", () -> StateSections.settings(settings))
+            .add("configuration", () -> StateSections.configuration(config));
     server = OperatorsServer.on("127.0.0.1", 0, () -> readiness, dump, metrics);
     server.start();
   }
@@ -43,10 +60,10 @@
   }
 
   @Test
-  void should_count_keys_without_their_digests_when_dumped() {
+  void should_hold_no_digest_and_no_secret_when_dumped() {
     assertThat(get("/dump").contentUtf8())
-        .contains("\"vypin-cut-and-stitch\" : 1")
-        .doesNotContain(DIGEST);
+        .contains("\"vypin-cut-and-stitch\" : 1", "\"peerSecrets\" : 1")
+        .doesNotContain(DIGEST, SECRET);
   }
 
   @Test
