--- a/core/src/test/java/org/bambooarch/core/request/run/RunWorld.java
+++ b/core/src/test/java/org/bambooarch/core/request/run/RunWorld.java
@@ -23,6 +23,7 @@
   final Random random;
   final Set<Protection> off;
   final List<String> violations = new ArrayList<>();
+  final List<Long> answerMillis = new ArrayList<>();
   final RunKeys keys = new RunKeys(this);
   final TreeMap<String, Integer> tally = new TreeMap<>();
 
@@ -63,6 +64,12 @@
     tally.merge(what, 1, Integer::sum);
   }
 
+  void noteLatency(RunReply reply, boolean tooLate, long sentNanos) {
+    if (reply instanceof RunReply.Answer && !tooLate) {
+      answerMillis.add((clock.monotonicNanos() - sentNanos) / MILLI);
+    }
+  }
+
   void check(boolean holds, String violation) {
     if (!holds) {
       violations.add(clock.wallMillis() + " ms: " + violation);
