Wire the fleet's budgets and the target chooser into the entry instance

Cause: requests were admitted without limit and servers chosen at random. Change: the control loop runs the budgets and the target chooser; a request takes a token of its customer's fleet-wide budget before it goes on; the share epoch is one row of the table service; servers are chosen by room, health and link budget; an instance announces itself only after its budgets are confirmed or 3 s have passed.

--- a/core/src/main/java/org/bambooarch/core/request/NotRun.java
+++ b/core/src/main/java/org/bambooarch/core/request/NotRun.java
@@ -26,6 +26,8 @@
     KEY_REUSED("idempotency-key-reused", 422),
     /** The customer has used up its rate and burst. */
     OVER_RATE("over-rate", 429),
+    /** The instance holds no confirmed share of the customer's budget. */
+    BUDGET_UNCONFIRMED("budget-unconfirmed", 503),
     /** No region has room within the caps. */
     NO_ROOM("no-room", 503),
     /** No healthy target serves the route. */
--- a/entry/src/main/java/org/bambooarch/entry/EntryInstance.java
+++ b/entry/src/main/java/org/bambooarch/entry/EntryInstance.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.locks.LockSupport;
 import org.bambooarch.core.key.KeyCheck;
 import org.bambooarch.core.time.Clock;
 import org.bambooarch.core.time.SystemClock;
@@ -16,9 +17,10 @@
 import org.bambooarch.entry.operators.MeteredService;
 import org.bambooarch.entry.operators.OperatorsServer;
 import org.bambooarch.entry.operators.Readiness;
+import org.bambooarch.entry.request.CustomerAdmission;
 import org.bambooarch.entry.request.ForwardService;
 import org.bambooarch.entry.request.RequestServices;
-import org.bambooarch.entry.request.target.ViewSelection;
+import org.bambooarch.entry.request.target.ChooserSelection;
 import org.bambooarch.entry.shutdown.GracefulShutdown;
 import org.bambooarch.entry.shutdown.InFlightRequests;
 import org.bambooarch.platform.InstanceRecord;
@@ -41,6 +43,8 @@
   private static final long CALLER_IDLE_MILLIS = 60_000;
   private static final long CALLER_PING_MILLIS = 10_000;
   private static final long LIST_LAG_MILLIS = 5_000;
+  private static final long BUDGETS_WAIT_NANOS = 3_000_000_000L;
+  private static final long BUDGETS_POLL_NANOS = 10_000_000L;
   private static final int MAX_HTTP1_LINE_BYTES = 8 * 1024;
 
   private final EntrySettings settings;
@@ -70,8 +74,8 @@
             settings.name(),
             platform,
             keyCheck,
-            new ViewSelection(
-                control::view, settings.dataCentre(), ThreadLocalRandom::current, clock),
+            new ChooserSelection(control.steering()::chooser, ThreadLocalRandom::current),
+            new CustomerAdmission(control.budgets(), clock),
             message -> {},
             clock);
     this.server =
@@ -105,6 +109,7 @@
       instance.control.start();
       instance.server.start().join();
       instance.operators.start();
+      instance.awaitBudgets();
       instance.announce();
     } catch (PlatformException e) {
       instance.close();
@@ -119,6 +124,17 @@
     return instance;
   }
 
+  /** Waits a bounded time for confirmed budgets, so that the first callers are not refused. */
+  private void awaitBudgets() {
+    long untilNanos = clock.monotonicNanos() + BUDGETS_WAIT_NANOS;
+    while (!control.areBudgetsReady() && clock.monotonicNanos() - untilNanos < 0) {
+      LockSupport.parkNanos(BUDGETS_POLL_NANOS);
+    }
+    if (!control.areBudgetsReady()) {
+      Logger.warn("event=started-without-budgets instance={}", settings.name());
+    }
+  }
+
   private void announce() throws PlatformException {
     try {
       platform.announce(record(false));
@@ -186,6 +202,7 @@
 
     @Override
     public void announceLeaving() {
+      control.leave();
       stopping = true;
       Thread.startVirtualThread(EntryInstance.this::tellPlatformThatLeaving);
     }
--- /dev/null
+++ b/entry/src/main/java/org/bambooarch/entry/control/BudgetSystem.java
@@ -0,0 +1,78 @@
+package org.bambooarch.entry.control;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Executor;
+import java.util.random.RandomGenerator;
+import org.bambooarch.core.budget.BudgetMessage;
+import org.bambooarch.core.budget.BudgetResource;
+import org.bambooarch.core.budget.BudgetSettings;
+import org.bambooarch.core.budget.FleetBudgets;
+import org.bambooarch.core.budget.MemberId;
+import org.bambooarch.core.budget.ShareEpochStore;
+import org.bambooarch.core.inventory.Customer;
+import org.bambooarch.core.inventory.Inventory;
+import org.bambooarch.core.peer.PeerSender;
+import org.bambooarch.core.time.Clock;
+import org.bambooarch.platform.TableService;
+
+/** Runs the fleet-wide budgets of customers on the control thread. */
+final class BudgetSystem {
+
+  private final FleetBudgets budgets;
+  private long version;
+
+  BudgetSystem(
+      String instance,
+      TableService tables,
+      PeerSender peers,
+      Clock clock,
+      RandomGenerator random,
+      Executor control) {
+    ShareEpochTable store =
+        new ShareEpochTable(tables, answer -> control.execute(() -> onStoreAnswer(answer)));
+    this.budgets =
+        FleetBudgets.starting(
+            new MemberId(instance, clock.wallMillis()),
+            BudgetSettings.defaults(),
+            clock,
+            random,
+            peers,
+            store);
+  }
+
+  /** Returns the budgets, for traffic threads. */
+  FleetBudgets budgets() {
+    return budgets;
+  }
+
+  /** Takes in the customers' limits of the configuration in force. */
+  void update(long newVersion, Inventory inventory) {
+    if (newVersion == version) {
+      return;
+    }
+    version = newVersion;
+    List<BudgetResource> resources = new ArrayList<>();
+    for (Customer customer : inventory.customers()) {
+      resources.add(BudgetResource.ofCustomer(customer));
+    }
+    budgets.configure(resources);
+  }
+
+  void receive(BudgetMessage message) {
+    budgets.onMessage(message);
+  }
+
+  void tick() {
+    budgets.tick();
+  }
+
+  /** Starts to give all shares away, for a planned stop. */
+  void leave() {
+    budgets.leave();
+  }
+
+  private void onStoreAnswer(ShareEpochStore.Answer answer) {
+    budgets.onStoreAnswer(answer);
+  }
+}
--- a/entry/src/main/java/org/bambooarch/entry/control/ControlLoop.java
+++ b/entry/src/main/java/org/bambooarch/entry/control/ControlLoop.java
@@ -9,6 +9,8 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
+import org.bambooarch.core.budget.BudgetMessage;
+import org.bambooarch.core.budget.FleetBudgets;
 import org.bambooarch.core.config.ConfigMessage;
 import org.bambooarch.core.config.ConfigState;
 import org.bambooarch.core.config.LoggedChange;
@@ -33,7 +35,7 @@
  */
 public final class ControlLoop implements AutoCloseable {
 
-  private static final long TICK_MILLIS = 100;
+  private static final long TICK_MILLIS = 50;
   private static final long ANNOUNCEMENT_RETRY_MILLIS = 3_000;
 
   private final EntrySettings settings;
@@ -43,8 +45,11 @@
   private final PeerSystem peers;
   private final ConfigSystem config;
   private final InstanceListSystem instanceList;
+  private final BudgetSystem budgets;
+  private final SteeringSystem steering;
   private volatile FleetView view = FleetView.empty();
   private volatile SpreadStatus spreadStatus;
+  private volatile boolean budgetsReady;
 
   private ControlLoop(
       EntrySettings settings, HttpPlatform platform, KeyCheck keyCheck, Clock clock) {
@@ -57,6 +62,8 @@
     this.instanceList =
         new InstanceListSystem(
             platform, clock, ThreadLocalRandom::current, control, settings.control().seedPeers());
+    this.budgets = new BudgetSystem(settings.name(), platform, peers::send, clock, random, control);
+    this.steering = new SteeringSystem(settings.dataCentre(), clock);
     this.spreadStatus = config.spread().status();
   }
 
@@ -123,6 +130,26 @@
     return view;
   }
 
+  /** Returns the choice of servers, kept in step with the configuration. */
+  public SteeringSystem steering() {
+    return steering;
+  }
+
+  /** Returns the budgets of customers over all instances. */
+  public FleetBudgets budgets() {
+    return budgets.budgets();
+  }
+
+  /** Returns whether the budgets are confirmed, so that callers may be sent here. */
+  public boolean areBudgetsReady() {
+    return budgetsReady;
+  }
+
+  /** Gives all shares of budgets away, for a planned stop. */
+  public void leave() {
+    run(budgets::leave);
+  }
+
   /** Returns the port for other instances. */
   public int peersPort() {
     return peers.port();
@@ -170,6 +197,9 @@
           }
           config.tick();
           publish();
+          budgets.tick();
+          budgetsReady = budgets.budgets().isReady();
+          steering.tick();
         });
   }
 
@@ -184,6 +214,7 @@
 
   private void receive(String fromInstance, PeerMessage message) {
     switch (message) {
+      case BudgetMessage budgetMessage -> budgets.receive(budgetMessage);
       case ConfigMessage configMessage -> {
         config.receive(fromInstance, configMessage);
         publish();
@@ -212,6 +243,8 @@
     keyCheck.publish(state);
     keysFreshUntilNanos.ifPresent(keyCheck::keepFreshUntil);
     spreadStatus = config.spread().status();
+    budgets.update(state.version(), state.inventory());
+    steering.update(state.version(), state.inventory(), instanceList.instances());
     if (changed) {
       Logger.info("event=configuration-in-force version={}", state.version());
     }
--- a/entry/src/main/java/org/bambooarch/entry/request/ForwardService.java
+++ b/entry/src/main/java/org/bambooarch/entry/request/ForwardService.java
@@ -120,6 +120,11 @@
 
   private HttpResponse run(CallerRequest request) {
     try {
+      Optional<NotRun> overRate =
+          services.admission().admit(request.customer(), request.deadlineNanos());
+      if (overRate.isPresent()) {
+        return ProblemResponses.of(overRate.get(), request.requestId(), isUnchecked(request));
+      }
       if (!request.isIdempotent() && request.idempotencyKey().isPresent()) {
         return new OrderRun(services, request, request.idempotencyKey().get()).run();
       }
@@ -171,6 +176,11 @@
     return ProblemResponses.of(refusal, requestId, unchecked);
   }
 
+  /** Returns whether a record of an earlier send may exist that was not looked at. */
+  private static boolean isUnchecked(CallerRequest request) {
+    return request.idempotencyKey().isPresent();
+  }
+
   private static boolean isInside(String path, String key) {
     return key.length() >= SHORTEST_KEY_CHARS && path.contains(key);
   }
--- a/entry/src/main/java/org/bambooarch/entry/request/RequestServices.java
+++ b/entry/src/main/java/org/bambooarch/entry/request/RequestServices.java
@@ -26,6 +26,7 @@
   private final KeyCheck keyCheck;
   private final RetryBudget retryBudget = new RetryBudget();
   private final TargetSelection selection;
+  private final CustomerAdmission admission;
   private final TargetClients clients = new TargetClients();
   private final TargetExchange exchange;
   private final OrderLedger ledger;
@@ -42,12 +43,14 @@
       HttpPlatform platform,
       KeyCheck keyCheck,
       TargetSelection selection,
+      CustomerAdmission admission,
       Consumer<CrashMessage> broadcast,
       Clock clock) {
     this.instance = instance;
     this.clock = clock;
     this.keyCheck = keyCheck;
     this.selection = selection;
+    this.admission = admission;
     this.exchange = new TargetExchange(clients, clock);
     this.ledger = new OrderLedger(platform, clock);
     this.archive = new AnswerArchive(platform);
@@ -74,6 +77,11 @@
     return selection;
   }
 
+  /** Returns the admission of customers' requests. */
+  public CustomerAdmission admission() {
+    return admission;
+  }
+
   /** Returns the exchanges with servers. */
   public TargetExchange exchange() {
     return exchange;
--- /dev/null
+++ b/entry/src/main/java/org/bambooarch/entry/request/target/ChooserSelection.java
@@ -0,0 +1,110 @@
+package org.bambooarch.entry.request.target;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import org.bambooarch.core.inventory.Server;
+import org.bambooarch.core.request.AttemptOutcome;
+import org.bambooarch.core.routing.Choice;
+import org.bambooarch.core.routing.Chosen;
+import org.bambooarch.core.routing.TargetChooser;
+import org.bambooarch.core.routing.TargetTable;
+import org.bambooarch.entry.request.RouteTable.RouteMatch;
+
+/** Chooses by the library's tables: own region first, by room, health and link budget. */
+public final class ChooserSelection implements TargetSelection {
+
+  private final Supplier<TargetChooser> choosers;
+  private final Supplier<RandomGenerator> random;
+
+  /** Creates the selection over the chooser in force. */
+  public ChooserSelection(Supplier<TargetChooser> choosers, Supplier<RandomGenerator> random) {
+    this.choosers = choosers;
+    this.random = random;
+  }
+
+  @Override
+  public Optional<Taken> choose(RouteMatch match, Set<String> excludedServers) {
+    TargetChooser chooser = choosers.get();
+    int[] excluded = rowsOf(chooser.table(), excludedServers);
+    return choose(chooser, match, excluded);
+  }
+
+  @Override
+  public Optional<Taken> take(RouteMatch match, String server) {
+    TargetChooser chooser = choosers.get();
+    Set<String> others = servers(match);
+    if (!others.remove(server)) {
+      return Optional.empty();
+    }
+    return choose(chooser, match, rowsOf(chooser.table(), others));
+  }
+
+  @Override
+  public Set<String> servers(RouteMatch match) {
+    Set<String> names = new TreeSet<>();
+    for (Server server : choosers.get().table().servers()) {
+      if (server.service().equals(match.service())) {
+        names.add(server.name());
+      }
+    }
+    return names;
+  }
+
+  private Optional<Taken> choose(TargetChooser chooser, RouteMatch match, int[] excluded) {
+    int route = chooser.table().routeIndex(match.service(), match.route().name());
+    if (route == TargetTable.NO_ROUTE) {
+      return Optional.empty();
+    }
+    return switch (chooser.choose(route, excluded, random.get())) {
+      case Chosen chosen -> Optional.of(new TakenSlot(chooser, chosen));
+      case Choice.NoRoom noRoom -> Optional.empty();
+      case Choice.NoTarget noTarget -> Optional.empty();
+    };
+  }
+
+  private static int[] rowsOf(TargetTable table, Set<String> names) {
+    if (names.isEmpty()) {
+      return TargetChooser.NONE_EXCLUDED;
+    }
+    List<Server> servers = table.servers();
+    int[] rows = new int[names.size()];
+    int count = 0;
+    for (int row = 0; row < servers.size() && count < rows.length; row++) {
+      if (names.contains(servers.get(row).name())) {
+        rows[count++] = row;
+      }
+    }
+    return Arrays.copyOf(rows, count);
+  }
+
+  /** A slot that the chooser gave. */
+  private record TakenSlot(TargetChooser chooser, Chosen chosen) implements Taken {
+
+    @Override
+    public Server server() {
+      return chosen.server();
+    }
+
+    @Override
+    public void end(AttemptOutcome outcome, long latencyNanos) {
+      switch (outcome) {
+        case AttemptOutcome.Answered answered -> chooser.onAnswered(chosen, latencyNanos);
+        case AttemptOutcome.Shed shed -> chooser.onShed(chosen);
+        case AttemptOutcome.NotSent notSent -> chooser.onFailed(chosen);
+        case AttemptOutcome.Lost lost -> chooser.onFailed(chosen);
+        case AttemptOutcome.BadAnswer badAnswer -> chooser.onFailed(chosen);
+        case AttemptOutcome.TimedOut timedOut -> chooser.onFailed(chosen);
+      }
+    }
+
+    @Override
+    public void cancel() {
+      chooser.onCancelled(chosen);
+    }
+  }
+}
