--- a/bench/src/main/java/org/bambooarch/bench/budget/BudgetComparison.java
+++ b/bench/src/main/java/org/bambooarch/bench/budget/BudgetComparison.java
@@ -21,6 +21,7 @@
   private static final int INSTANCES = 10;
   private static final double PERCENT = 100;
   private static final long NANOS_PER_MILLI = 1_000_000L;
+  private static final double NANOS_PER_SECOND = 1e9;
   private static final double USE_OF_RATE = 0.7;
   private static final String AGGRESSOR = "customer-0";
 
@@ -50,6 +51,7 @@
     for (Trial trial : trials()) {
       FleetTrial run = run(seed, trial);
       printWorst(trial.scenario(), run, out);
+      printTraffic(trial.scenario(), run, out);
     }
   }
 
@@ -76,6 +78,16 @@
     printRow(scenario.name(), worst, run.tallies().get(worst), out);
   }
 
+  private static void printTraffic(Scenario scenario, FleetTrial run, PrintStream out) {
+    double nodeSeconds = run.events().nowNanos() / NANOS_PER_SECOND * INSTANCES;
+    out.printf(
+        Locale.ROOT,
+        "%-22s each instance sends %.0f messages and %.0f entries a second%n",
+        scenario.name(),
+        run.network().messages() / nodeSeconds,
+        run.network().entries() / nodeSeconds);
+  }
+
   private static boolean isAggressor(Scenario scenario, String customer) {
     for (Load load : scenario.loads()) {
       if (load.limits().name().equals(customer)) {
--- a/bench/src/main/java/org/bambooarch/bench/budget/FakeNetwork.java
+++ b/bench/src/main/java/org/bambooarch/bench/budget/FakeNetwork.java
@@ -25,6 +25,7 @@
   private double repeatRate;
   private double strayRate;
   private long messages;
+  private long entries;
 
   FakeNetwork(EventQueue events, RandomGenerator random, long nearNanos, long farNanos) {
     this.events = events;
@@ -54,8 +55,15 @@
     return messages;
   }
 
+  long entries() {
+    return entries;
+  }
+
   void send(String from, String to, BudgetMessage message) {
     messages++;
+    if (message instanceof BudgetMessage.ShareReport report) {
+      entries += report.entries().size();
+    }
     if (!receivers.containsKey(to) || random.nextDouble() < lossRate) {
       return;
     }
--- a/core/src/main/java/org/bambooarch/core/budget/BudgetSettings.java
+++ b/core/src/main/java/org/bambooarch/core/budget/BudgetSettings.java
@@ -41,10 +41,10 @@
   /** Returns the settings for instances in several regions. */
   public static BudgetSettings defaults() {
     return new BudgetSettings(
-        3_000 * NANOS_PER_MILLI,
-        150 * NANOS_PER_MILLI,
         2_000 * NANOS_PER_MILLI,
-        1_000 * NANOS_PER_MILLI,
+        100 * NANOS_PER_MILLI,
+        1_500 * NANOS_PER_MILLI,
+        800 * NANOS_PER_MILLI,
         400 * NANOS_PER_MILLI,
         EnumSet.allOf(Protection.class));
   }
--- a/core/src/main/java/org/bambooarch/core/budget/internal/ExchangeSystem.java
+++ b/core/src/main/java/org/bambooarch/core/budget/internal/ExchangeSystem.java
@@ -12,6 +12,8 @@
 public final class ExchangeSystem {
 
   private static final double NANOS_PER_SECOND = 1e9;
+  private static final long QUIET_INTERVAL_NANOS = 200_000_000L;
+  private static final double DEMAND_STEP = 0.03;
   private static final double TOLERANCE = 0.1;
   private static final double DAMPING = 0.5;
   private static final double SCARCITY = 1.2;
@@ -214,11 +216,18 @@
               share.held(),
               (long) (share.demandQuantaPerSecond() * 1_000),
               share.wantedUnits());
-      boolean news = ledger.isNews(entry, nowNanos, peer.acknowledgedNanos);
+      long demandStep = (long) (DEMAND_STEP * share.quantaPerSecond() * 1_000);
+      boolean news = ledger.isNews(entry, demandStep, nowNanos, peer.acknowledgedNanos);
       if (news || !peer.anyAcknowledged) {
         entries.add(entry);
       }
     }
+    boolean due = !peer.anyReported || nowNanos - peer.reportedNanos >= QUIET_INTERVAL_NANOS;
+    if (entries.isEmpty() && !due) {
+      return;
+    }
+    peer.anyReported = true;
+    peer.reportedNanos = nowNanos;
     boolean vouches = peer.knownEpoch == state.epoch.number() && !isShut(peer);
     state.send(
         new BudgetMessage.ShareReport(
--- a/core/src/main/java/org/bambooarch/core/budget/internal/PairLedger.java
+++ b/core/src/main/java/org/bambooarch/core/budget/internal/PairLedger.java
@@ -15,8 +15,8 @@
  */
 final class PairLedger {
 
-  private static final double DEMAND_STEP = 0.1;
-  private static final long HELD_STEP_UNITS = ShareAmount.WHOLE / 1_000;
+  private static final long RATE_STEP_UNITS = ShareAmount.WHOLE / 200;
+  private static final long HELD_STEP_UNITS = ShareAmount.WHOLE / 50;
 
   private record Sent(long stampNanos, ShareAmount total) {}
 
@@ -80,28 +80,34 @@
     return sentTotal;
   }
 
-  /** Returns whether the peer has not yet acknowledged the latest state. */
-  boolean isNews(ShareEntry entry, long nowNanos, long acknowledgedNanos) {
-    if (told == null || differs(told, entry)) {
+  /**
+   * Returns whether the peer has not yet acknowledged the latest state.
+   *
+   * @param entry the latest state
+   * @param demandStep change of the demand that is worth telling, in thousandths of quanta a second
+   * @param nowNanos time of this tick
+   * @param acknowledgedNanos latest tick whose report the peer has acknowledged
+   */
+  boolean isNews(ShareEntry entry, long demandStep, long nowNanos, long acknowledgedNanos) {
+    if (told == null || differs(told, entry, demandStep)) {
       told = entry;
       toldNanos = nowNanos;
     }
     return toldNanos - acknowledgedNanos > 0;
   }
 
-  private static boolean differs(ShareEntry old, ShareEntry now) {
+  private static boolean differs(ShareEntry old, ShareEntry now, long demandStep) {
     if (!old.sentTotal().equals(now.sentTotal()) || old.wantedUnits() != now.wantedUnits()) {
       return true;
     }
-    if (old.held().rateUnits() != now.held().rateUnits()) {
-      return true;
-    }
     long demandGap = Math.abs(old.demandMilliQuantaPerSecond() - now.demandMilliQuantaPerSecond());
-    if (demandGap > DEMAND_STEP * old.demandMilliQuantaPerSecond()) {
+    if (demandGap > demandStep) {
       return true;
     }
-    return Math.abs(old.held().fullUnits() - now.held().fullUnits()) > HELD_STEP_UNITS
-        || Math.abs(old.held().emptyUnits() - now.held().emptyUnits()) > HELD_STEP_UNITS;
+    ShareAmount gap = old.held().minus(now.held());
+    return Math.abs(gap.rateUnits()) > RATE_STEP_UNITS
+        || Math.abs(gap.fullUnits()) > HELD_STEP_UNITS
+        || Math.abs(gap.emptyUnits()) > HELD_STEP_UNITS;
   }
 
   /** Returns units sent less units received. */
--- a/core/src/main/java/org/bambooarch/core/budget/internal/Peer.java
+++ b/core/src/main/java/org/bambooarch/core/budget/internal/Peer.java
@@ -16,6 +16,8 @@
   long latestStampNanos;
   boolean anyAcknowledged;
   long acknowledgedNanos;
+  boolean anyReported;
+  long reportedNanos;
   boolean anyVouch;
   long vouchNanos;
   boolean frozen;
--- /dev/null
+++ b/core/src/test/java/org/bambooarch/core/budget/FleetBudgetsVouchTest.java
@@ -0,0 +1,141 @@
+package org.bambooarch.core.budget;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.bambooarch.core.time.ManualClock;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class FleetBudgetsVouchTest {
+
+  private static final MemberId SELF = new MemberId("entry-b", 1);
+  private static final MemberId COORDINATOR = new MemberId("entry-a", 1);
+  private static final MemberId SILENT = new MemberId("entry-c", 1);
+
+  private final ManualClock clock = ManualClock.startingAtZero();
+  private final List<BudgetMessage> sent = new ArrayList<>();
+  private FleetBudgets budgets;
+
+  @BeforeEach
+  void joinThreeMembers() {
+    budgets =
+        FleetBudgets.starting(
+            SELF,
+            BudgetSettings.defaults(),
+            clock,
+            new SplittableRandom(1),
+            (to, message) -> sent.add((BudgetMessage) message),
+            new SilentStore());
+    ShareEpoch epoch =
+        ShareEpoch.founding(COORDINATOR, "1").withJoined(SELF, "2").withJoined(SILENT, "3");
+    budgets.onMessage(new BudgetMessage.EpochNotice(COORDINATOR, SELF, epoch));
+    hear(SILENT, 1, false);
+    hear(COORDINATOR, 1, false);
+  }
+
+  @Test
+  void should_vouch_for_a_member_when_it_was_heard() {
+    // when
+    clock.advanceMillis(50);
+    budgets.tick();
+    // then
+    assertThat(lastReportTo(SILENT).vouches()).isTrue();
+    assertThat(lastReportTo(SILENT).echoNanos()).isEqualTo(1);
+  }
+
+  @Test
+  void should_stop_vouching_when_it_promised_to_close_the_ledger() {
+    // given
+    clock.advanceMillis(3_000);
+    budgets.onMessage(closeLedgerOfSilent());
+    // when
+    hear(SILENT, 2, false);
+    clock.advanceMillis(50);
+    budgets.tick();
+    // then
+    assertThat(sent).anyMatch(message -> message instanceof BudgetMessage.LedgerClosed);
+    assertThat(lastReportTo(SILENT).vouches()).isFalse();
+    assertThat(lastReportTo(SILENT).echoed()).isFalse();
+  }
+
+  @Test
+  void should_refuse_to_close_the_ledger_when_the_member_was_heard_lately() {
+    // given
+    clock.advanceMillis(3_000);
+    hear(SILENT, 2, false);
+    // when
+    budgets.onMessage(closeLedgerOfSilent());
+    // then
+    assertThat(sent).noneMatch(message -> message instanceof BudgetMessage.LedgerClosed);
+  }
+
+  @Test
+  void should_become_usable_when_more_than_half_of_the_members_vouch() {
+    // given
+    clock.advanceMillis(50);
+    budgets.tick();
+    boolean before = budgets.isReady();
+    // when
+    hear(COORDINATOR, 2, true);
+    budgets.tick();
+    // then
+    assertThat(before).isFalse();
+    assertThat(budgets.isReady()).isTrue();
+  }
+
+  @Test
+  void should_refuse_when_the_last_confirmation_is_a_lease_old() {
+    // given
+    budgets.configure(List.of(new BudgetResource("kerala", 100, 100)));
+    clock.advanceMillis(50);
+    budgets.tick();
+    hear(COORDINATOR, 2, true);
+    budgets.tick();
+    // when
+    clock.advanceMillis(2_100);
+    // then
+    assertThat(budgets.tryAdmit("kerala", 1)).isEqualTo(BudgetDecision.NOT_CONFIRMED);
+  }
+
+  private void hear(MemberId from, long stampNanos, boolean vouches) {
+    budgets.onMessage(
+        new BudgetMessage.ShareReport(
+            from,
+            SELF,
+            3,
+            stampNanos,
+            clock.monotonicNanos(),
+            vouches,
+            vouches,
+            false,
+            false,
+            false,
+            List.of()));
+  }
+
+  private static BudgetMessage closeLedgerOfSilent() {
+    return new BudgetMessage.CloseLedger(COORDINATOR, SELF, 3, "p", List.of(SILENT));
+  }
+
+  private BudgetMessage.ShareReport lastReportTo(MemberId receiver) {
+    BudgetMessage.ShareReport last = null;
+    for (BudgetMessage message : sent) {
+      if (message instanceof BudgetMessage.ShareReport report && report.to().equals(receiver)) {
+        last = report;
+      }
+    }
+    return last;
+  }
+
+  private static final class SilentStore implements ShareEpochStore {
+
+    @Override
+    public void startRead(long startedNanos) {}
+
+    @Override
+    public void startCompareAndSet(long expectedEpoch, ShareEpoch next) {}
+  }
+}
