--- /dev/null
+++ b/bench/src/main/java/org/bambooarch/bench/budget/BudgetSlopes.java
@@ -0,0 +1,70 @@
+package org.bambooarch.bench.budget;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import org.bambooarch.bench.budget.Scenario.Load;
+import org.bambooarch.bench.budget.Scenario.Spread;
+import org.bambooarch.core.budget.BudgetResource;
+import org.bambooarch.core.budget.BudgetSettings;
+
+/**
+ * Prints how the cost of the budgets grows with instances and customers.
+ *
+ * <p>Counts depend on the seed alone. The processor time is that of the whole trial, its fake
+ * network and traffic included, divided by instances and simulated seconds; it is an upper bound.
+ */
+public final class BudgetSlopes {
+
+  private static final double SECONDS = 20;
+  private static final double NANOS_PER_MILLI = 1e6;
+  private static final double RATE = 50;
+  private static final double USE_OF_RATE = 0.7;
+
+  private BudgetSlopes() {}
+
+  /** Runs all sizes; takes no arguments. */
+  public static void main(String[] args) {
+    System.out.printf(
+        Locale.ROOT,
+        "%9s %9s %12s %12s %14s%n",
+        "instances",
+        "customers",
+        "messages/s",
+        "entries/s",
+        "ms/instance-s");
+    run(10, 8);
+    for (int instances : new int[] {5, 10, 20, 40}) {
+      run(instances, 8);
+    }
+    for (int customers : new int[] {16, 32, 64}) {
+      run(10, customers);
+    }
+  }
+
+  private static void run(int instances, int customers) {
+    List<Load> loads = new ArrayList<>();
+    for (int i = 0; i < customers; i++) {
+      BudgetResource limits = new BudgetResource("customer-" + i, RATE, (long) (2 * RATE));
+      loads.add(new Load(limits, USE_OF_RATE * RATE, Spread.UNIFORM));
+    }
+    Scenario scenario = new Scenario("slope", (long) SECONDS, loads);
+    FleetTrial trial = new FleetTrial(1, instances, BudgetSettings.defaults(), scenario);
+    trial.runSeconds(20);
+    trial.startTraffic();
+    final long messagesBefore = trial.network().messages();
+    final long entriesBefore = trial.network().entries();
+    final long startNanos = System.nanoTime();
+    trial.runSeconds(SECONDS);
+    double spentMillis = (System.nanoTime() - startNanos) / NANOS_PER_MILLI;
+    double instanceSeconds = instances * SECONDS;
+    System.out.printf(
+        Locale.ROOT,
+        "%9d %9d %12.0f %12.0f %14.2f%n",
+        instances,
+        customers,
+        (trial.network().messages() - messagesBefore) / instanceSeconds,
+        (trial.network().entries() - entriesBefore) / instanceSeconds,
+        spentMillis / instanceSeconds);
+  }
+}
--- a/bench/src/main/java/org/bambooarch/bench/budget/FleetTrial.java
+++ b/bench/src/main/java/org/bambooarch/bench/budget/FleetTrial.java
@@ -184,11 +184,11 @@
           events.after(RETRY_NANOS, () -> retry(node, customer, arrivedNanos));
         }
       }
-      case OVER_RATE, UNKNOWN_RESOURCE -> tally.refused++;
       case NOT_CONFIRMED -> {
         tally.refused++;
         tally.unconfirmed++;
       }
+      default -> tally.refused++;
     }
   }
 
