Carry budget and crash messages between instances

Cause: the budgets and the reports of crashing requests had messages without a wire format, and crash reports reached other instances by the table only.

Change: codecs for both concerns; the control loop broadcasts crash reports and hands received ones to the request services. The limit of a proof of the keys is described where it is set.

Conclusion: every message type comes back equal from the wire, by the tests.

--- a/core/src/main/java/org/bambooarch/core/key/KeyCheck.java
+++ b/core/src/main/java/org/bambooarch/core/key/KeyCheck.java
@@ -21,7 +21,11 @@
  */
 public final class KeyCheck {
 
-  /** How long a confirmation of the newest version counts, in nanoseconds: 3 s. */
+  /**
+   * How long a confirmation by the store itself counts, in nanoseconds: 3 s.
+   *
+   * <p>An instance with peers extends the deadline by the longer limit of its configuration spread.
+   */
   public static final long FRESHNESS_NANOS = 3_000_000_000L;
 
   private record Snapshot(
@@ -56,8 +60,8 @@
   /**
    * Extends the deadline until which keys are accepted; an earlier deadline changes nothing.
    *
-   * @param untilNanos monotonic moment, at most {@link #FRESHNESS_NANOS} after the one at which the
-   *     published version was known to be the newest
+   * @param untilNanos monotonic moment, a stated time after the one at which the published version
+   *     was known to be the newest
    */
   public synchronized void keepFreshUntil(long untilNanos) {
     if (untilNanos - snapshot.freshUntilNanos() > 0) {
--- a/entry/src/main/java/org/bambooarch/entry/EntryInstance.java
+++ b/entry/src/main/java/org/bambooarch/entry/EntryInstance.java
@@ -72,8 +72,9 @@
             keyCheck,
             new ViewSelection(
                 control::view, settings.dataCentre(), ThreadLocalRandom::current, clock),
-            message -> {},
+            control::broadcast,
             clock);
+    control.onCrashMessage(requests.crashes()::onMessage);
     this.server =
         Server.builder()
             .http(new InetSocketAddress(settings.host(), settings.callersPort()))
--- a/entry/src/main/java/org/bambooarch/entry/control/ControlLoop.java
+++ b/entry/src/main/java/org/bambooarch/entry/control/ControlLoop.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.bambooarch.core.config.ConfigMessage;
 import org.bambooarch.core.config.ConfigState;
@@ -15,6 +16,7 @@
 import org.bambooarch.core.config.SpreadStatus;
 import org.bambooarch.core.key.KeyCheck;
 import org.bambooarch.core.peer.PeerMessage;
+import org.bambooarch.core.request.crash.CrashMessage;
 import org.bambooarch.core.time.Clock;
 import org.bambooarch.entry.EntrySettings;
 import org.bambooarch.entry.request.RouteTable;
@@ -43,6 +45,7 @@
   private final PeerSystem peers;
   private final ConfigSystem config;
   private final InstanceListSystem instanceList;
+  private volatile Consumer<CrashMessage> crashConsumer = message -> {};
   private volatile FleetView view = FleetView.empty();
   private volatile SpreadStatus spreadStatus;
 
@@ -138,6 +141,20 @@
     return peers.statuses();
   }
 
+  /** Sets who takes reports of crashing requests from other instances. */
+  public void onCrashMessage(Consumer<CrashMessage> consumer) {
+    crashConsumer = consumer;
+  }
+
+  /** Sends a message to all other instances without waiting. */
+  public void broadcast(PeerMessage message) {
+    for (InstanceRecord instance : view.instances()) {
+      if (!instance.name().equals(settings.name())) {
+        peers.send(instance.name(), message);
+      }
+    }
+  }
+
   /** Takes a change that an operator's tool committed, so that peers learn it without the store. */
   public void announce(LoggedChange change) {
     run(() -> config.spread().announce(change));
@@ -188,6 +205,7 @@
         config.receive(fromInstance, configMessage);
         publish();
       }
+      case CrashMessage crashMessage -> crashConsumer.accept(crashMessage);
       default ->
           Logger.warn(
               "event=peer-message-ignored peer={} type={}",
--- a/peer/src/main/java/org/bambooarch/peer/PeerCodec.java
+++ b/peer/src/main/java/org/bambooarch/peer/PeerCodec.java
@@ -5,7 +5,9 @@
 import java.util.Map;
 import java.util.Optional;
 import org.bambooarch.core.peer.PeerMessage;
+import org.bambooarch.peer.codec.BudgetMessageCodec;
 import org.bambooarch.peer.codec.ConfigMessageCodec;
+import org.bambooarch.peer.codec.CrashMessageCodec;
 import org.bambooarch.peer.generated.PeerProtocol.Envelope;
 
 /** The registry of all message types that instances exchange. */
@@ -24,7 +26,7 @@
 
   /** Returns the registry with all concerns of this version. */
   public static PeerCodec standard() {
-    return of(List.of(new ConfigMessageCodec()));
+    return of(List.of(new ConfigMessageCodec(), new BudgetMessageCodec(), new CrashMessageCodec()));
   }
 
   /** Returns a registry with the given concerns. */
--- /dev/null
+++ b/peer/src/main/java/org/bambooarch/peer/codec/BudgetMessageCodec.java
@@ -0,0 +1,132 @@
+package org.bambooarch.peer.codec;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.bambooarch.core.budget.BudgetMessage;
+import org.bambooarch.core.budget.MemberId;
+import org.bambooarch.peer.DomainCodec;
+import org.bambooarch.peer.generated.PeerProtocol;
+import org.bambooarch.peer.generated.PeerProtocol.BudgetBody;
+import org.bambooarch.peer.generated.PeerProtocol.Envelope;
+
+/** Maps the messages that move shares of the customers' budgets. */
+public final class BudgetMessageCodec implements DomainCodec<BudgetMessage> {
+
+  @Override
+  public Class<BudgetMessage> domain() {
+    return BudgetMessage.class;
+  }
+
+  @Override
+  public Envelope.BodyCase bodyCase() {
+    return Envelope.BodyCase.BUDGET;
+  }
+
+  @Override
+  public Envelope encode(BudgetMessage message) {
+    BudgetBody.Builder body =
+        BudgetBody.newBuilder()
+            .setFrom(ShareRecords.memberId(message.from()))
+            .setTo(ShareRecords.memberId(message.to()));
+    switch (message) {
+      case BudgetMessage.ShareReport report -> body.setShareReport(report(report));
+      case BudgetMessage.CloseLedger close -> body.setCloseLedger(close(close));
+      case BudgetMessage.LedgerClosed closed -> body.setLedgerClosed(closed(closed));
+      case BudgetMessage.EpochNotice notice ->
+          body.setEpochNotice(ShareRecords.epoch(notice.epoch()));
+    }
+    return Envelope.newBuilder().setBudget(body).build();
+  }
+
+  @Override
+  public Optional<BudgetMessage> decode(Envelope envelope) {
+    BudgetBody body = envelope.getBudget();
+    MemberId from = ShareRecords.memberId(body.getFrom());
+    MemberId to = ShareRecords.memberId(body.getTo());
+    return switch (body.getMessageCase()) {
+      case SHARE_REPORT -> Optional.of(report(from, to, body.getShareReport()));
+      case CLOSE_LEDGER -> Optional.of(close(from, to, body.getCloseLedger()));
+      case LEDGER_CLOSED -> Optional.of(closed(from, to, body.getLedgerClosed()));
+      case EPOCH_NOTICE ->
+          Optional.of(
+              new BudgetMessage.EpochNotice(from, to, ShareRecords.epoch(body.getEpochNotice())));
+      case MESSAGE_NOT_SET -> Optional.empty();
+    };
+  }
+
+  private static PeerProtocol.ShareReport report(BudgetMessage.ShareReport report) {
+    return PeerProtocol.ShareReport.newBuilder()
+        .setEpoch(report.epoch())
+        .setStampNanos(report.stampNanos())
+        .setEchoNanos(report.echoNanos())
+        .setEchoed(report.echoed())
+        .setVouches(report.vouches())
+        .setFrozen(report.frozen())
+        .setLeaving(report.leaving())
+        .setLedgerClosed(report.ledgerClosed())
+        .addAllEntries(report.entries().stream().map(ShareRecords::entry).toList())
+        .build();
+  }
+
+  private static BudgetMessage report(MemberId from, MemberId to, PeerProtocol.ShareReport report) {
+    return new BudgetMessage.ShareReport(
+        from,
+        to,
+        report.getEpoch(),
+        report.getStampNanos(),
+        report.getEchoNanos(),
+        report.getEchoed(),
+        report.getVouches(),
+        report.getFrozen(),
+        report.getLeaving(),
+        report.getLedgerClosed(),
+        report.getEntriesList().stream().map(ShareRecords::entry).toList());
+  }
+
+  private static PeerProtocol.CloseLedger close(BudgetMessage.CloseLedger close) {
+    return PeerProtocol.CloseLedger.newBuilder()
+        .setEpoch(close.epoch())
+        .setProposal(close.proposal())
+        .addAllDead(close.dead().stream().map(ShareRecords::memberId).toList())
+        .build();
+  }
+
+  private static BudgetMessage close(MemberId from, MemberId to, PeerProtocol.CloseLedger close) {
+    List<MemberId> dead = close.getDeadList().stream().map(ShareRecords::memberId).toList();
+    return new BudgetMessage.CloseLedger(from, to, close.getEpoch(), close.getProposal(), dead);
+  }
+
+  private static PeerProtocol.LedgerClosed closed(BudgetMessage.LedgerClosed closed) {
+    PeerProtocol.LedgerClosed.Builder builder =
+        PeerProtocol.LedgerClosed.newBuilder()
+            .setEpoch(closed.epoch())
+            .setProposal(closed.proposal())
+            .addAllBalances(closed.balances().stream().map(ShareRecords::balance).toList());
+    closed
+        .knownEpochs()
+        .forEach(
+            (member, epoch) ->
+                builder.addKnownEpochs(
+                    PeerProtocol.KnownEpoch.newBuilder()
+                        .setMember(ShareRecords.memberId(member))
+                        .setEpoch(epoch)));
+    return builder.build();
+  }
+
+  private static BudgetMessage closed(
+      MemberId from, MemberId to, PeerProtocol.LedgerClosed closed) {
+    Map<MemberId, Long> knownEpochs = new HashMap<>();
+    for (PeerProtocol.KnownEpoch known : closed.getKnownEpochsList()) {
+      knownEpochs.put(ShareRecords.memberId(known.getMember()), known.getEpoch());
+    }
+    return new BudgetMessage.LedgerClosed(
+        from,
+        to,
+        closed.getEpoch(),
+        closed.getProposal(),
+        closed.getBalancesList().stream().map(ShareRecords::balance).toList(),
+        knownEpochs);
+  }
+}
--- a/peer/src/test/java/org/bambooarch/peer/PeerCodecTest.java
+++ b/peer/src/test/java/org/bambooarch/peer/PeerCodecTest.java
@@ -5,10 +5,20 @@
 
 import com.google.protobuf.UnknownFieldSet;
 import java.util.List;
+import java.util.Map;
 import java.util.stream.Stream;
+import org.bambooarch.core.budget.BudgetMessage;
+import org.bambooarch.core.budget.MemberId;
+import org.bambooarch.core.budget.ShareAmount;
+import org.bambooarch.core.budget.ShareBalance;
+import org.bambooarch.core.budget.ShareEntry;
+import org.bambooarch.core.budget.ShareEpoch;
 import org.bambooarch.core.config.ConfigMessage;
 import org.bambooarch.core.config.LoggedChange;
 import org.bambooarch.core.peer.PeerMessage;
+import org.bambooarch.core.request.crash.CrashEvidence;
+import org.bambooarch.core.request.crash.CrashFingerprint;
+import org.bambooarch.core.request.crash.CrashMessage;
 import org.bambooarch.peer.generated.PeerProtocol.Envelope;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -28,11 +38,36 @@
         new ConfigMessage.Deltas(List.of(new LoggedChange(13, "{}"), new LoggedChange(14, "é"))),
         new ConfigMessage.PullDeltas(12),
         new ConfigMessage.PullSnapshot(0, 0),
-        new ConfigMessage.SnapshotPart(12, 100, 50, "text"));
+        new ConfigMessage.SnapshotPart(12, 100, 50, "text"),
+        new CrashMessage.CrashReport(
+            new CrashEvidence(new CrashFingerprint("ab"), "s1", "i1", Long.MAX_VALUE, 2, 3)),
+        new CrashMessage.CrashCleared(new CrashFingerprint("ab"), List.of("x", "y"), 9));
+  }
+
+  static Stream<PeerMessage> budgetMessages() {
+    MemberId from = new MemberId("i1", Long.MAX_VALUE);
+    MemberId to = new MemberId("i2", -1);
+    ShareAmount amount = new ShareAmount(-5, Long.MIN_VALUE, ShareAmount.WHOLE);
+    ShareEntry entry = new ShareEntry("customer/kerala", amount, ShareAmount.NONE, 7, -8);
+    List<ShareBalance> balances = List.of(new ShareBalance("link/a", -1, Long.MAX_VALUE));
+    ShareEpoch epoch =
+        new ShareEpoch(
+            9,
+            "p",
+            List.of(new ShareEpoch.Member(from, 3, true, -4, balances, balances)),
+            List.of(new ShareEpoch.Former(to, 1, 2, true)));
+    return Stream.of(
+        new BudgetMessage.ShareReport(
+            from, to, 4, Long.MIN_VALUE, -6, true, false, true, false, true, List.of(entry)),
+        new BudgetMessage.ShareReport(
+            from, to, 4, 1, 2, false, true, false, true, false, List.of()),
+        new BudgetMessage.CloseLedger(from, to, 4, "p", List.of(to)),
+        new BudgetMessage.LedgerClosed(from, to, 4, "p", balances, Map.of(to, 7L)),
+        new BudgetMessage.EpochNotice(from, to, epoch));
   }
 
   @ParameterizedTest
-  @MethodSource("messages")
+  @MethodSource({"messages", "budgetMessages"})
   void should_give_back_the_same_message_after_the_wire(PeerMessage message) throws Exception {
     byte[] wire = codec.encode(message).toByteArray();
     assertThat(codec.decode(Envelope.parseFrom(wire))).contains(message);
