--- a/entry/src/main/java/org/bambooarch/entry/EntryInstance.java
+++ b/entry/src/main/java/org/bambooarch/entry/EntryInstance.java
@@ -76,8 +76,9 @@
             keyCheck,
             new ChooserSelection(control.steering()::chooser, ThreadLocalRandom::current),
             new CustomerAdmission(control.budgets(), clock),
-            message -> {},
+            control::broadcast,
             clock);
+    control.onCrashMessage(requests.crashes()::onMessage);
     this.server =
         Server.builder()
             .http(new InetSocketAddress(settings.host(), settings.callersPort()))
--- a/entry/src/main/java/org/bambooarch/entry/control/BudgetSystem.java
+++ b/entry/src/main/java/org/bambooarch/entry/control/BudgetSystem.java
@@ -15,6 +15,7 @@
 import org.bambooarch.core.peer.PeerSender;
 import org.bambooarch.core.time.Clock;
 import org.bambooarch.platform.TableService;
+import org.bambooarch.platform.budget.TableShareEpochStore;
 
 /** Runs the fleet-wide budgets of customers on the control thread. */
 final class BudgetSystem {
@@ -29,8 +30,11 @@
       Clock clock,
       RandomGenerator random,
       Executor control) {
-    ShareEpochTable store =
-        new ShareEpochTable(tables, answer -> control.execute(() -> onStoreAnswer(answer)));
+    ShareEpochStore store =
+        new TableShareEpochStore(
+            tables,
+            Thread::startVirtualThread,
+            answer -> control.execute(() -> onStoreAnswer(answer)));
     this.budgets =
         FleetBudgets.starting(
             new MemberId(instance, clock.wallMillis()),
