Benchmark the decisions, and put the link budgets to the test

Cause: the cost of a decision was not measured, no case filled a link, and publishing look-up orders scanned all links for every comparison.

--- a/bench/src/main/java/org/bambooarch/bench/experiment/Scenario.java
+++ b/bench/src/main/java/org/bambooarch/bench/experiment/Scenario.java
@@ -69,6 +69,14 @@
             5,
             1,
             List.of(new Fault.RegionDown(8, 18))),
+        new Scenario(
+            "region-down-and-bulk",
+            ORDINARY_LOAD,
+            4,
+            NOT_DUE,
+            1,
+            1,
+            List.of(new Fault.RegionDown(8, 18))),
         of("drain-and-slow", PEAK_LOAD, new Fault.Drain(8, 18), new Fault.SlowServers(10, 20)));
   }
 
--- /dev/null
+++ b/bench/src/main/java/org/bambooarch/bench/jmh/AdmissionBenchmark.java
@@ -0,0 +1,92 @@
+package org.bambooarch.bench.jmh;
+
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.bambooarch.core.admission.AdmissionQueue;
+import org.bambooarch.core.admission.AdmissionSettings;
+import org.bambooarch.core.admission.Offer;
+import org.bambooarch.core.admission.Rank;
+import org.bambooarch.core.inventory.Customer;
+import org.bambooarch.core.inventory.Inventory;
+import org.bambooarch.core.inventory.PriorityClass;
+import org.bambooarch.core.link.LinkBudget;
+import org.bambooarch.core.link.LinkBudgets;
+import org.bambooarch.core.routing.EntryInstance;
+import org.bambooarch.core.routing.LookupAnswer;
+import org.bambooarch.core.routing.LookupPolicy;
+import org.bambooarch.core.routing.LookupSettings;
+import org.bambooarch.core.time.Clock;
+import org.bambooarch.core.time.SystemClock;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+
+/** Cost of waiting in a queue, of a look-up and of a byte grant, by number of customers. */
+@State(Scope.Thread)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.NANOSECONDS)
+@Fork(1)
+@Warmup(iterations = 3, time = 1)
+@Measurement(iterations = 5, time = 1)
+public class AdmissionBenchmark {
+
+  private static final long SECOND_NANOS = 1_000_000_000L;
+
+  /** Number of customers. */
+  @Param({"8", "80", "800"})
+  public int customers;
+
+  private final Clock clock = SystemClock.systemClock();
+  private AdmissionQueue<Object> queue;
+  private LookupPolicy lookups;
+  private LinkBudget link;
+  private int next;
+
+  /** Builds the queue, the look-up table and a budget. */
+  @Setup
+  public void setUp() {
+    List<Customer> rows = Sizes.customers(customers);
+    Inventory inventory = Sizes.inventory(36, customers);
+    LinkBudgets links = LinkBudgets.equalShares(inventory, 10, clock);
+    queue = AdmissionQueue.create(AdmissionSettings.defaults(), rows, clock);
+    lookups = LookupPolicy.create(inventory, links, LookupSettings.defaults(), clock);
+    lookups.update(List.of(new EntryInstance("i1", "r0-a", "127.0.0.1", 8_000, true, 0.1)));
+    link = links.rows().getFirst();
+  }
+
+  /** Queues a request and dispatches it. */
+  @Benchmark
+  public Offer offerAndDispatch() {
+    next = (next + 1) % customers;
+    long startByNanos = clock.monotonicNanos() + SECOND_NANOS;
+    Offer offer = queue.offer(this, next, Rank.BROWSE, startByNanos);
+    queue.dispatch(waiting -> true);
+    return offer;
+  }
+
+  /** Asks whether a request must wait, as each request does. */
+  @Benchmark
+  public boolean hasWaiting() {
+    return queue.hasWaitingUpTo(Rank.BROWSE);
+  }
+
+  /** Answers a look-up of a caller of the own data centre. */
+  @Benchmark
+  public LookupAnswer lookUp() {
+    return lookups.answer("r0-a", next++);
+  }
+
+  /** Takes bytes from a link's budget. */
+  @Benchmark
+  public long grantBytes() {
+    return link.bytesGrantedNow(16_384, PriorityClass.BROWSE);
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/bambooarch/bench/jmh/LookupUpdateBenchmark.java
@@ -0,0 +1,81 @@
+package org.bambooarch.bench.jmh;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.bambooarch.core.inventory.DataCentre;
+import org.bambooarch.core.inventory.Inventory;
+import org.bambooarch.core.inventory.Link;
+import org.bambooarch.core.inventory.Region;
+import org.bambooarch.core.link.LinkBudgets;
+import org.bambooarch.core.routing.EntryInstance;
+import org.bambooarch.core.routing.LookupPolicy;
+import org.bambooarch.core.routing.LookupSettings;
+import org.bambooarch.core.time.Clock;
+import org.bambooarch.core.time.SystemClock;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+
+/** Cost of taking in a changed list of instances, for 24 regions of 2 or 3 data centres. */
+@State(Scope.Thread)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.MICROSECONDS)
+@Fork(1)
+@Warmup(iterations = 2, time = 1)
+@Measurement(iterations = 3, time = 1)
+public class LookupUpdateBenchmark {
+
+  private static final int REGIONS = 24;
+  private static final int DATA_CENTRES = 54;
+
+  /** Number of instances. */
+  @Param({"10", "220", "2200"})
+  public int instances;
+
+  private final List<EntryInstance> rows = new ArrayList<>();
+  private LookupPolicy lookups;
+
+  /** Builds the policy and the list. */
+  @Setup
+  public void setUp() {
+    List<Region> regions = new ArrayList<>();
+    List<Link> links = new ArrayList<>();
+    for (int region = 0; region < REGIONS; region++) {
+      regions.add(new Region("r" + region));
+      for (int other = 0; other < REGIONS; other++) {
+        if (other != region) {
+          links.add(new Link("r" + region, "r" + other, 500_000_000L, 1_000L * (region + other)));
+        }
+      }
+    }
+    List<DataCentre> places = new ArrayList<>();
+    for (int place = 0; place < DATA_CENTRES; place++) {
+      places.add(new DataCentre("d" + place, "r" + place % REGIONS));
+    }
+    Inventory inventory =
+        new Inventory(
+            regions, places, links, List.of(), List.of(), List.of(), List.of(), List.of());
+    Clock clock = SystemClock.systemClock();
+    LinkBudgets budgets = LinkBudgets.equalShares(inventory, instances, clock);
+    lookups = LookupPolicy.create(inventory, budgets, LookupSettings.defaults(), clock);
+    for (int row = 0; row < instances; row++) {
+      String place = "d" + row % DATA_CENTRES;
+      rows.add(new EntryInstance("i" + row, place, "127.0.0.1", 8_000, true, 0.1));
+    }
+  }
+
+  /** Takes in the list and publishes new orders. */
+  @Benchmark
+  public void update() {
+    lookups.update(rows);
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/bambooarch/bench/jmh/Sizes.java
@@ -0,0 +1,73 @@
+package org.bambooarch.bench.jmh;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.bambooarch.core.inventory.Customer;
+import org.bambooarch.core.inventory.DataCentre;
+import org.bambooarch.core.inventory.Inventory;
+import org.bambooarch.core.inventory.Link;
+import org.bambooarch.core.inventory.PriorityClass;
+import org.bambooarch.core.inventory.Region;
+import org.bambooarch.core.inventory.Route;
+import org.bambooarch.core.inventory.Server;
+import org.bambooarch.core.inventory.Service;
+
+/** Inventories of three regions with any number of servers and customers. */
+final class Sizes {
+
+  private static final int REGIONS = 3;
+  private static final int SERVICES = 3;
+  private static final int PLACES = 2 * REGIONS;
+
+  private Sizes() {}
+
+  static Inventory inventory(int servers, int customers) {
+    List<Region> regions = new ArrayList<>();
+    List<DataCentre> places = new ArrayList<>();
+    List<Link> links = new ArrayList<>();
+    for (int region = 0; region < REGIONS; region++) {
+      regions.add(new Region("r" + region));
+      places.add(new DataCentre("r" + region + "-a", "r" + region));
+      places.add(new DataCentre("r" + region + "-b", "r" + region));
+      for (int other = 0; other < REGIONS; other++) {
+        if (other != region) {
+          links.add(new Link("r" + region, "r" + other, 500_000_000L, 55_000));
+        }
+      }
+    }
+    List<Service> services = new ArrayList<>();
+    for (int service = 0; service < SERVICES; service++) {
+      services.add(new Service("s" + service, List.of(route())));
+    }
+    return new Inventory(
+        regions,
+        places,
+        links,
+        services,
+        servers(servers, places),
+        customers(customers),
+        List.of(),
+        List.of());
+  }
+
+  static List<Customer> customers(int count) {
+    List<Customer> rows = new ArrayList<>();
+    for (int row = 0; row < count; row++) {
+      rows.add(new Customer("c" + row, 100 + row, 100));
+    }
+    return rows;
+  }
+
+  private static List<Server> servers(int count, List<DataCentre> places) {
+    List<Server> rows = new ArrayList<>();
+    for (int row = 0; row < count; row++) {
+      String place = places.get(row / SERVICES % PLACES).name();
+      rows.add(new Server("t" + row, "s" + row % SERVICES, place, "127.0.0.1", 9_000, 5, 360));
+    }
+    return rows;
+  }
+
+  private static Route route() {
+    return new Route("browse", "GET", "/", true, PriorityClass.COUNTER, 20_000, 3_000, false);
+  }
+}
--- a/core/src/main/java/org/bambooarch/core/routing/LookupPolicy.java
+++ b/core/src/main/java/org/bambooarch/core/routing/LookupPolicy.java
@@ -35,8 +35,14 @@
   private static final long RETRY_MILLIS = 2_000;
   private static final double OVERLOADED = 0.95;
 
-  private static final int NO_LINK = -1;
-  private static final int OWN_REGION = -2;
+  private static final int OWN_REGION = -1;
+  private static final long UNREACHABLE = Long.MAX_VALUE;
+  private static final Comparator<Ranked> NEAREST_FIRST =
+      Comparator.comparingLong(Ranked::distance).thenComparing(row -> row.instance().name());
+
+  private record RegionPair(String from, String to) {}
+
+  private record Ranked(EntryInstance instance, long distance) {}
 
   /** One order of instances, and the link that a caller's answers cross if it follows it. */
   private record Order(LookupAnswer.Instances instances, int link) {}
@@ -45,6 +51,7 @@
   private final LookupSettings settings;
   private final Clock clock;
   private final Map<String, String> regionOfDataCentre = new HashMap<>();
+  private final Map<RegionPair, Integer> linkRows = new HashMap<>();
   private final List<SteeredCallers> steered = new ArrayList<>();
   private volatile Map<String, List<Order>> ordersByDataCentre = Map.of();
 
@@ -56,6 +63,10 @@
     for (DataCentre dataCentre : inventory.dataCentres()) {
       regionOfDataCentre.put(dataCentre.name(), dataCentre.region());
     }
+    for (int row = 0; row < inventory.links().size(); row++) {
+      Link link = inventory.links().get(row);
+      linkRows.put(new RegionPair(link.fromRegion(), link.toRegion()), row);
+    }
     long now = clock.monotonicNanos();
     for (LinkBudget link : links.rows()) {
       steered.add(new SteeredCallers(link, settings.answerLifetimeNanos(), now));
@@ -110,26 +121,20 @@
 
   private List<Order> ordersFor(String dataCentre, List<EntryInstance> instances) {
     String region = regionOfDataCentre.get(dataCentre);
-    List<EntryInstance> usable = new ArrayList<>();
+    List<Ranked> usable = new ArrayList<>();
     for (EntryInstance instance : instances) {
-      boolean isReachable = delayMicros(regionOf(instance), region) != Long.MAX_VALUE;
-      if (instance.available() && isReachable) {
-        usable.add(instance);
+      long distance = distance(dataCentre, region, instance);
+      if (instance.available() && distance != UNREACHABLE) {
+        usable.add(new Ranked(instance, distance));
       }
     }
-    Comparator<EntryInstance> nearestFirst =
-        Comparator.<EntryInstance>comparingLong(i -> distance(dataCentre, region, i))
-            .thenComparing(EntryInstance::name);
-    usable.sort(nearestFirst);
-    if (usable.isEmpty()) {
-      return List.of();
-    }
-    int firstTier = tierSize(dataCentre, region, usable);
+    usable.sort(NEAREST_FIRST);
+    int firstTier = tierSize(usable);
     List<Order> orders = new ArrayList<>();
     for (int turn = 0; turn < Math.min(MAX_ROTATIONS, firstTier); turn++) {
       List<EntryInstance> ordered = rotated(usable, firstTier, turn);
       String first = regionOf(ordered.getFirst());
-      int link = first.equals(region) ? OWN_REGION : linkRow(first, region);
+      int link = first.equals(region) ? OWN_REGION : linkRows.get(new RegionPair(first, region));
       orders.add(new Order(new LookupAnswer.Instances(ordered), link));
     }
     return List.copyOf(orders);
@@ -137,26 +142,27 @@
 
   /** Instances of the own region differ by data centre only while none of them is overloaded. */
   private long distance(String dataCentre, String region, EntryInstance instance) {
-    if (!regionOf(instance).equals(region)) {
-      return 2 + delayMicros(regionOf(instance), region);
+    String instanceRegion = regionOf(instance);
+    if (!instanceRegion.equals(region)) {
+      Integer link = linkRows.get(new RegionPair(instanceRegion, region));
+      return link == null ? UNREACHABLE : 2 + inventory.links().get(link).delayMicros();
     }
     boolean isNear = instance.dataCentre().equals(dataCentre) && instance.load() < OVERLOADED;
     return isNear ? 0 : 1;
   }
 
-  private int tierSize(String dataCentre, String region, List<EntryInstance> sorted) {
-    long first = distance(dataCentre, region, sorted.getFirst());
+  private static int tierSize(List<Ranked> sorted) {
     int size = 0;
-    while (size < sorted.size() && distance(dataCentre, region, sorted.get(size)) == first) {
+    while (size < sorted.size() && sorted.get(size).distance() == sorted.getFirst().distance()) {
       size++;
     }
     return size;
   }
 
-  private static List<EntryInstance> rotated(List<EntryInstance> sorted, int tier, int turn) {
+  private static List<EntryInstance> rotated(List<Ranked> sorted, int tier, int turn) {
     List<EntryInstance> ordered = new ArrayList<>();
     for (int at = 0; at < Math.min(MAX_INSTANCES_IN_ANSWER, sorted.size()); at++) {
-      ordered.add(sorted.get(at < tier ? (at + turn) % tier : at));
+      ordered.add(sorted.get(at < tier ? (at + turn) % tier : at).instance());
     }
     return List.copyOf(ordered);
   }
@@ -164,22 +170,4 @@
   private String regionOf(EntryInstance instance) {
     return regionOfDataCentre.getOrDefault(instance.dataCentre(), "");
   }
-
-  private long delayMicros(String from, String to) {
-    if (from.equals(to)) {
-      return 0;
-    }
-    int row = linkRow(from, to);
-    return row == NO_LINK ? Long.MAX_VALUE : inventory.links().get(row).delayMicros();
-  }
-
-  private int linkRow(String from, String to) {
-    for (int row = 0; row < inventory.links().size(); row++) {
-      Link link = inventory.links().get(row);
-      if (link.fromRegion().equals(from) && link.toRegion().equals(to)) {
-        return row;
-      }
-    }
-    return NO_LINK;
-  }
 }
