--- a/entry/src/main/java/org/bambooarch/entry/control/ControlLoop.java
+++ b/entry/src/main/java/org/bambooarch/entry/control/ControlLoop.java
@@ -8,13 +8,17 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
+import org.bambooarch.core.budget.BudgetMessage;
+import org.bambooarch.core.budget.FleetBudgets;
 import org.bambooarch.core.config.ConfigMessage;
 import org.bambooarch.core.config.ConfigState;
 import org.bambooarch.core.config.LoggedChange;
 import org.bambooarch.core.config.SpreadStatus;
 import org.bambooarch.core.key.KeyCheck;
 import org.bambooarch.core.peer.PeerMessage;
+import org.bambooarch.core.request.crash.CrashMessage;
 import org.bambooarch.core.time.Clock;
 import org.bambooarch.entry.EntrySettings;
 import org.bambooarch.entry.request.RouteTable;
@@ -33,7 +37,7 @@
  */
 public final class ControlLoop implements AutoCloseable {
 
-  private static final long TICK_MILLIS = 100;
+  private static final long TICK_MILLIS = 50;
   private static final long ANNOUNCEMENT_RETRY_MILLIS = 3_000;
 
   private final EntrySettings settings;
@@ -43,8 +47,12 @@
   private final PeerSystem peers;
   private final ConfigSystem config;
   private final InstanceListSystem instanceList;
+  private final BudgetSystem budgets;
+  private final SteeringSystem steering;
+  private volatile Consumer<CrashMessage> crashConsumer = message -> {};
   private volatile FleetView view = FleetView.empty();
   private volatile SpreadStatus spreadStatus;
+  private volatile boolean budgetsReady;
 
   private ControlLoop(
       EntrySettings settings, HttpPlatform platform, KeyCheck keyCheck, Clock clock) {
@@ -57,6 +65,8 @@
     this.instanceList =
         new InstanceListSystem(
             platform, clock, ThreadLocalRandom::current, control, settings.control().seedPeers());
+    this.budgets = new BudgetSystem(settings.name(), platform, peers::send, clock, random, control);
+    this.steering = new SteeringSystem(settings.dataCentre(), clock);
     this.spreadStatus = config.spread().status();
   }
 
@@ -123,6 +133,26 @@
     return view;
   }
 
+  /** Returns the choice of servers, kept in step with the configuration. */
+  public SteeringSystem steering() {
+    return steering;
+  }
+
+  /** Returns the budgets of customers over all instances. */
+  public FleetBudgets budgets() {
+    return budgets.budgets();
+  }
+
+  /** Returns whether the budgets are confirmed, so that callers may be sent here. */
+  public boolean areBudgetsReady() {
+    return budgetsReady;
+  }
+
+  /** Gives all shares of budgets away, for a planned stop. */
+  public void leave() {
+    run(budgets::leave);
+  }
+
   /** Returns the port for other instances. */
   public int peersPort() {
     return peers.port();
@@ -138,6 +168,20 @@
     return peers.statuses();
   }
 
+  /** Sets who takes reports of crashing requests from other instances. */
+  public void onCrashMessage(Consumer<CrashMessage> consumer) {
+    crashConsumer = consumer;
+  }
+
+  /** Sends a message to all other instances without waiting. */
+  public void broadcast(PeerMessage message) {
+    for (InstanceRecord instance : view.instances()) {
+      if (!instance.name().equals(settings.name())) {
+        peers.send(instance.name(), message);
+      }
+    }
+  }
+
   /** Takes a change that an operator's tool committed, so that peers learn it without the store. */
   public void announce(LoggedChange change) {
     run(() -> config.spread().announce(change));
@@ -170,6 +214,9 @@
           }
           config.tick();
           publish();
+          budgets.tick();
+          budgetsReady = budgets.budgets().isReady();
+          steering.tick();
         });
   }
 
@@ -184,10 +231,12 @@
 
   private void receive(String fromInstance, PeerMessage message) {
     switch (message) {
+      case BudgetMessage budgetMessage -> budgets.receive(budgetMessage);
       case ConfigMessage configMessage -> {
         config.receive(fromInstance, configMessage);
         publish();
       }
+      case CrashMessage crashMessage -> crashConsumer.accept(crashMessage);
       default ->
           Logger.warn(
               "event=peer-message-ignored peer={} type={}",
@@ -212,6 +261,8 @@
     keyCheck.publish(state);
     keysFreshUntilNanos.ifPresent(keyCheck::keepFreshUntil);
     spreadStatus = config.spread().status();
+    budgets.update(state.version(), state.inventory());
+    steering.update(state.version(), state.inventory(), instanceList.instances());
     if (changed) {
       Logger.info("event=configuration-in-force version={}", state.version());
     }
