Never put two writes of one order into the same commit

Cause: the ledger batches waiting writes into one commit. Expectations are checked against the rows before the commit, so two sends of one Idempotency-Key that arrived together at one instance both inserted their record and both were told to dispatch: the order would run twice.

--- a/entry/src/main/java/org/bambooarch/entry/control/ControlLoop.java
+++ b/entry/src/main/java/org/bambooarch/entry/control/ControlLoop.java
@@ -1,6 +1,7 @@
 package org.bambooarch.entry.control;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.Executor;
 import java.util.concurrent.Executors;
@@ -8,8 +9,10 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
+import org.bambooarch.core.budget.BudgetDump;
 import org.bambooarch.core.budget.BudgetMessage;
 import org.bambooarch.core.budget.FleetBudgets;
 import org.bambooarch.core.config.ConfigMessage;
@@ -39,6 +42,7 @@
 public final class ControlLoop implements AutoCloseable {
 
   private static final long TICK_MILLIS = 50;
+  private static final long TICKS_BETWEEN_DUMPS = 20;
   private static final long ANNOUNCEMENT_RETRY_MILLIS = 3_000;
 
   private final EntrySettings settings;
@@ -54,6 +58,9 @@
   private volatile FleetView view = FleetView.empty();
   private volatile SpreadStatus spreadStatus;
   private volatile boolean budgetsReady;
+  private volatile Optional<BudgetDump> budgetDump = Optional.empty();
+  private final AtomicLong faults = new AtomicLong();
+  private long ticks;
 
   private ControlLoop(
       EntrySettings settings, HttpPlatform platform, KeyCheck keyCheck, Clock clock) {
@@ -149,6 +156,16 @@
     return budgetsReady;
   }
 
+  /** Returns the budgets of at most a second ago, if they have run yet. */
+  public Optional<BudgetDump> budgetDump() {
+    return budgetDump;
+  }
+
+  /** Returns how many tasks of the control thread have failed since the start. */
+  public long faults() {
+    return faults.get();
+  }
+
   /** Gives all shares of budgets away, for a planned stop. */
   public void leave() {
     run(budgets::leave);
@@ -217,15 +234,25 @@
           publish();
           budgets.tick();
           budgetsReady = budgets.budgets().isReady();
+          publishBudgetDump();
           steering.tick();
         });
   }
 
+  /** The dump is published now and then only, because it is built from all shares. */
+  private void publishBudgetDump() {
+    ticks++;
+    if (ticks % TICKS_BETWEEN_DUMPS == 0) {
+      budgetDump = Optional.of(budgets.budgets().dump());
+    }
+  }
+
   /** Runs a task so that a fault in it does not end the control thread. */
-  private static void guarded(Runnable task) {
+  private void guarded(Runnable task) {
     try {
       task.run();
     } catch (RuntimeException e) {
+      faults.incrementAndGet();
       Logger.error(e, "event=control-fault reason=\"{}\"", e.getMessage());
     }
   }
--- a/entry/src/main/java/org/bambooarch/entry/operators/InstancePages.java
+++ b/entry/src/main/java/org/bambooarch/entry/operators/InstancePages.java
@@ -29,6 +29,10 @@
             "bambooarch_requests_running",
             "Requests that run on this instance now.",
             runningRequests::getAsInt)
+        .gauge(
+            "bambooarch_control_faults",
+            "Tasks of the control thread that failed since the start.",
+            control::faults)
         .gauge(
             "bambooarch_ready",
             "Whether the instance takes new requests: 1 or 0.",
@@ -42,6 +46,8 @@
             .add("spread", control::spreadStatus)
             .add("instances", () -> views.get().instances())
             .add("peers", control::peerStatuses)
+            .add("budgets", control::budgetDump)
+            .add("targets", () -> TargetSections.of(control.steering().chooser()))
             .add("requestsRunning", runningRequests::getAsInt)
             .add("process", StateSections::process);
     return OperatorsServer.on(settings.host(), settings.operatorsPort(), readiness, dump, metrics);
--- a/entry/src/main/java/org/bambooarch/entry/request/order/OrderLedger.java
+++ b/entry/src/main/java/org/bambooarch/entry/request/order/OrderLedger.java
@@ -2,8 +2,10 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -71,6 +73,11 @@
     };
   }
 
+  /** Returns how many writes wait for a commit. */
+  int waiting() {
+    return queue.size();
+  }
+
   @Override
   public void close() {
     batcher.interrupt();
@@ -114,13 +121,34 @@
 
   private void commitAndRelease(List<Waiting> batch) {
     try {
-      commitBatch(batch);
+      List<Waiting> left = batch;
+      while (!left.isEmpty()) {
+        left = commitFirstOfEachRow(left);
+      }
     } finally {
       batch.forEach(waiting -> waiting.reply().complete(new StoreReply.Lost()));
       commitSlots.release();
     }
   }
 
+  /**
+   * Commits the first write of each row and returns the others.
+   *
+   * <p>Expectations are checked against the rows before a commit, so two writes of one row in the
+   * same commit could both hold.
+   */
+  private List<Waiting> commitFirstOfEachRow(List<Waiting> batch) {
+    Set<String> rowKeys = new HashSet<>();
+    List<Waiting> firsts = new ArrayList<>();
+    List<Waiting> others = new ArrayList<>();
+    for (Waiting waiting : batch) {
+      boolean isFirst = rowKeys.add(waiting.write().key());
+      (isFirst ? firsts : others).add(waiting);
+    }
+    commitBatch(firsts);
+    return others;
+  }
+
   private void commitBatch(List<Waiting> batch) {
     try {
       switch (tables.commit(batch.stream().map(Waiting::write).toList())) {
--- /dev/null
+++ b/entry/src/test/java/org/bambooarch/entry/request/order/OrderLedgerTest.java
@@ -0,0 +1,107 @@
+package org.bambooarch.entry.request.order;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.bambooarch.core.request.order.OrderKey;
+import org.bambooarch.core.request.order.OrderOwner;
+import org.bambooarch.core.request.order.OrderRecord;
+import org.bambooarch.core.request.order.OrderState;
+import org.bambooarch.core.request.order.OrderStep;
+import org.bambooarch.core.request.order.RequestDigest;
+import org.bambooarch.core.request.order.StoreReply;
+import org.bambooarch.core.time.SystemClock;
+import org.bambooarch.platform.CommitResult;
+import org.bambooarch.platform.Row;
+import org.bambooarch.platform.TableService;
+import org.bambooarch.platform.Write;
+import org.bambooarch.standin.MemoryTables;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class OrderLedgerTest {
+
+  private final HeldTables tables = new HeldTables();
+  private final OrderLedger ledger = new OrderLedger(tables, SystemClock.systemClock());
+
+  @AfterEach
+  void stopLedger() {
+    ledger.close();
+  }
+
+  @Test
+  void should_let_one_of_two_sends_insert_when_both_wait_for_the_same_commit() throws Exception {
+    // given
+    for (int i = 0; i < OrderLedger.MAX_COMMITS; i++) {
+      insert("other-" + i, i);
+      while (tables.commits.get() <= i) {
+        Thread.onSpinWait();
+      }
+    }
+    // when
+    CompletableFuture<StoreReply> first = insert("same", 100);
+    CompletableFuture<StoreReply> second = insert("same", 101);
+    while (ledger.waiting() < 1) {
+      Thread.onSpinWait();
+    }
+    tables.release.countDown();
+    // then
+    assertThat(List.of(first.get(), second.get()))
+        .hasAtLeastOneElementOfType(StoreReply.Committed.class)
+        .hasAtLeastOneElementOfType(StoreReply.Conflict.class);
+  }
+
+  private CompletableFuture<StoreReply> insert(String key, long attempt) {
+    OrderRecord record =
+        new OrderRecord(
+            RequestDigest.of("POST", "/orders", new byte[0]),
+            new OrderOwner("entry-1", 1, attempt),
+            new OrderState.Pending(Long.MAX_VALUE),
+            Long.MAX_VALUE);
+    OrderStep.Insert call =
+        new OrderStep.Insert(new OrderKey("kerala", key), record, System.nanoTime());
+    CompletableFuture<StoreReply> reply = new CompletableFuture<>();
+    Thread.startVirtualThread(
+        () -> {
+          try {
+            reply.complete(ledger.carryOut(call));
+          } catch (InterruptedException e) {
+            reply.completeExceptionally(e);
+          }
+        });
+    return reply;
+  }
+
+  /** Holds the first commits back until all slots for commits are taken. */
+  private static final class HeldTables implements TableService {
+
+    private final MemoryTables rows = new MemoryTables();
+    private final AtomicInteger commits = new AtomicInteger();
+    private final CountDownLatch release = new CountDownLatch(1);
+
+    @Override
+    public Optional<Row> read(String table, String key) {
+      return rows.read(table, key);
+    }
+
+    @Override
+    public List<Row> scan(String table, String keyPrefix, String afterKey, int limit) {
+      return rows.scan(table, keyPrefix, afterKey, limit);
+    }
+
+    @Override
+    public CommitResult commit(List<Write> writes) {
+      commits.incrementAndGet();
+      try {
+        release.await();
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+      return rows.commit(writes);
+    }
+  }
+}
--- a/standin/src/main/java/org/bambooarch/standin/MemoryTables.java
+++ b/standin/src/main/java/org/bambooarch/standin/MemoryTables.java
@@ -1,8 +1,10 @@
 package org.bambooarch.standin;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import org.bambooarch.platform.CommitResult;
 import org.bambooarch.platform.Row;
@@ -45,6 +47,7 @@
 
   @Override
   public synchronized CommitResult commit(List<Write> writes) {
+    requireOneWriteOfEachRow(writes);
     List<Row> current = new ArrayList<>();
     boolean conflict = false;
     for (Write write : writes) {
@@ -62,6 +65,17 @@
     return new CommitResult.Committed(applyAll(writes));
   }
 
+  private static void requireOneWriteOfEachRow(List<Write> writes) {
+    Set<RowKey> written = new HashSet<>();
+    for (Write write : writes) {
+      if (!written.add(new RowKey(write.table(), write.key()))) {
+        throw new IllegalArgumentException(
+            "expected one write of each row in a transaction but got two of %s/%s"
+                .formatted(write.table(), write.key()));
+      }
+    }
+  }
+
   private static boolean isExpected(Write write, Row row) {
     return switch (write) {
       case Write.Insert insert -> row == null;
