--- a/entry/src/main/java/org/bambooarch/entry/operators/InstancePages.java
+++ b/entry/src/main/java/org/bambooarch/entry/operators/InstancePages.java
@@ -46,7 +46,7 @@
             .add("spread", control::spreadStatus)
             .add("instances", () -> views.get().instances())
             .add("peers", control::peerStatuses)
-            .add("budgets", control::budgetDump)
+            .add("budgets", () -> control.budgetDump().stream().toList())
             .add("targets", () -> TargetSections.of(control.steering().chooser()))
             .add("requestsRunning", runningRequests::getAsInt)
             .add("process", StateSections::process);
