--- a/bench/src/main/java/org/bambooarch/bench/load/BenchEntry.java
+++ b/bench/src/main/java/org/bambooarch/bench/load/BenchEntry.java
@@ -12,10 +12,10 @@
 import org.bambooarch.core.inventory.Route;
 import org.bambooarch.core.inventory.Server;
 import org.bambooarch.core.inventory.Service;
+import org.bambooarch.core.key.KeyDigest;
 import org.bambooarch.core.time.SystemClock;
 import org.bambooarch.entry.EntryInstance;
 import org.bambooarch.entry.EntrySettings;
-import org.bambooarch.entry.request.KeyDigests;
 import org.bambooarch.platform.config.ConfigRepository;
 import org.bambooarch.platform.http.HttpPlatform;
 import org.bambooarch.standin.StandinPlatform;
@@ -46,7 +46,7 @@
         new ConfigRepository(HttpPlatform.at(uri, Duration.ofMillis(TIMEOUT_MILLIS)));
     Inventory inventory = inventory(targetPorts, expectedAnswerBytes);
     repository.propose(0, "c1", "bench", new ConfigChange.ReplaceInventory(inventory));
-    String digest = KeyDigests.digestOf(KEY);
+    String digest = KeyDigest.of(KEY);
     repository.propose(1, "c2", "bench", new ConfigChange.IssueKey(digest, "bench"));
     EntrySettings settings =
         new EntrySettings("entry-1", "kochi-a", HOST, 0, 0, 0, uri, TIMEOUT_MILLIS);
--- a/cli/src/main/java/org/bambooarch/cli/command/KeyCommand.java
+++ b/cli/src/main/java/org/bambooarch/cli/command/KeyCommand.java
@@ -17,7 +17,7 @@
 import org.bambooarch.core.config.ConfigChange;
 import org.bambooarch.core.config.ConfigState;
 import org.bambooarch.core.config.IssuedKey;
-import org.bambooarch.entry.request.KeyDigests;
+import org.bambooarch.core.key.KeyDigest;
 
 /** Issues, lists and withdraws the keys of customers. */
 final class KeyCommand implements Command {
@@ -66,7 +66,7 @@
   private static void issue(String customer, OptionSet options, Console console)
       throws CommandException {
     String key = newKey();
-    String digest = KeyDigests.digestOf(key);
+    String digest = KeyDigest.of(key);
     ProposalOutcome.Accepted accepted =
         ConfigSession.of(options)
             .changeNewest(
--- a/cli/src/main/java/org/bambooarch/cli/quickstart/LoopbackFleet.java
+++ b/cli/src/main/java/org/bambooarch/cli/quickstart/LoopbackFleet.java
@@ -17,11 +17,11 @@
 import org.bambooarch.core.inventory.Inventory;
 import org.bambooarch.core.inventory.Region;
 import org.bambooarch.core.inventory.Server;
+import org.bambooarch.core.key.KeyDigest;
 import org.bambooarch.core.time.SystemClock;
 import org.bambooarch.entry.ControlSettings;
 import org.bambooarch.entry.EntryInstance;
 import org.bambooarch.entry.EntrySettings;
-import org.bambooarch.entry.request.KeyDigests;
 import org.bambooarch.inventory.InvalidInventoryException;
 import org.bambooarch.platform.PlatformException;
 import org.bambooarch.platform.config.ConfigRepository;
@@ -147,7 +147,7 @@
   private void issueKey(String customer) throws InvalidInventoryException, IOException {
     String key = customer + "-" + UUID.randomUUID();
     keysByCustomer.put(customer, key);
-    change(new ConfigChange.IssueKey(KeyDigests.digestOf(key), customer));
+    change(new ConfigChange.IssueKey(KeyDigest.of(key), customer));
   }
 
   private void startInstance(String dataCentre) throws PlatformException {
--- a/cli/src/main/java/org/bambooarch/cli/quickstart/Quickstart.java
+++ b/cli/src/main/java/org/bambooarch/cli/quickstart/Quickstart.java
@@ -13,10 +13,10 @@
 import org.bambooarch.core.config.ConfigChange;
 import org.bambooarch.core.inventory.Customer;
 import org.bambooarch.core.inventory.Route;
+import org.bambooarch.core.key.KeyDigest;
 import org.bambooarch.entry.EntryInstance;
 import org.bambooarch.entry.lookup.LookupService;
 import org.bambooarch.entry.lookup.LookupService.LookupInstance;
-import org.bambooarch.entry.request.KeyDigests;
 import org.bambooarch.inventory.InvalidInventoryException;
 
 /** Walks through look-ups, requests and the withdrawal of a key, and prints what happened. */
@@ -121,7 +121,7 @@
     String path = firstKeyedPath();
     WebClient client = CallersClient.client(fleet.callersUri(fleet.instances().getFirst()));
     long startedNanos = System.nanoTime();
-    fleet.change(new ConfigChange.WithdrawKey(KeyDigests.digestOf(key)));
+    fleet.change(new ConfigChange.WithdrawKey(KeyDigest.of(key)));
     Call call = new Call(HttpMethod.GET, path, key, "", "");
     await("the withdrawn key is refused", () -> isRefused(client, call));
     console.line(
--- a/entry/src/test/java/org/bambooarch/entry/EntryInstanceTest.java
+++ b/entry/src/test/java/org/bambooarch/entry/EntryInstanceTest.java
@@ -17,8 +17,8 @@
 import org.bambooarch.core.inventory.Route;
 import org.bambooarch.core.inventory.Server;
 import org.bambooarch.core.inventory.Service;
+import org.bambooarch.core.key.KeyDigest;
 import org.bambooarch.core.time.SystemClock;
-import org.bambooarch.entry.request.KeyDigests;
 import org.bambooarch.platform.config.ConfigRepository;
 import org.bambooarch.platform.http.HttpPlatform;
 import org.bambooarch.standin.StandinPlatform;
@@ -45,7 +45,7 @@
         new ConfigRepository(HttpPlatform.at(uri, Duration.ofSeconds(10)));
     repository.propose(0, "c1", "test", new ConfigChange.ReplaceInventory(inventory()));
     repository.propose(
-        1, "c2", "test", new ConfigChange.IssueKey(KeyDigests.digestOf(KEY), "balaramapuram"));
+        1, "c2", "test", new ConfigChange.IssueKey(KeyDigest.of(KEY), "balaramapuram"));
     entry =
         EntryInstance.start(new EntrySettings("entry-1", "kochi-a", HOST, 0, 0, 0, uri, 10_000));
   }
--- a/entry/src/test/java/org/bambooarch/entry/request/RequestSessionTest.java
+++ b/entry/src/test/java/org/bambooarch/entry/request/RequestSessionTest.java
@@ -23,6 +23,7 @@
 import org.bambooarch.core.inventory.Route;
 import org.bambooarch.core.inventory.Server;
 import org.bambooarch.core.inventory.Service;
+import org.bambooarch.core.key.KeyDigest;
 import org.bambooarch.core.time.SystemClock;
 import org.bambooarch.entry.ControlSettings;
 import org.bambooarch.entry.EntryInstance;
@@ -61,12 +62,9 @@
     repository = new ConfigRepository(HttpPlatform.at(uri, Duration.ofSeconds(10)));
     repository.propose(0, "c1", "test", new ConfigChange.ReplaceInventory(inventory()));
     repository.propose(
-        1, "c2", "test", new ConfigChange.IssueKey(KeyDigests.digestOf(KEY), "balaramapuram"));
+        1, "c2", "test", new ConfigChange.IssueKey(KeyDigest.of(KEY), "balaramapuram"));
     repository.propose(
-        2,
-        "c3",
-        "test",
-        new ConfigChange.IssueKey(KeyDigests.digestOf(OTHER_KEY), "balaramapuram"));
+        2, "c3", "test", new ConfigChange.IssueKey(KeyDigest.of(OTHER_KEY), "balaramapuram"));
     first = EntryInstance.start(settings("entry-1", uri));
     second = EntryInstance.start(settings("entry-2", uri));
   }
@@ -152,7 +150,7 @@
     RequestHeaders headers =
         RequestHeaders.builder(HttpMethod.GET, "/books/stream").add("X-API-Key", OTHER_KEY).build();
     var answer = client(first).execute(headers).aggregate();
-    ConfigChange withdrawal = new ConfigChange.WithdrawKey(KeyDigests.digestOf(OTHER_KEY));
+    ConfigChange withdrawal = new ConfigChange.WithdrawKey(KeyDigest.of(OTHER_KEY));
     assertThat(repository.propose(3, "c4", "test", withdrawal))
         .isInstanceOf(ConfigRepository.ProposeResult.Accepted.class);
     try {
