Send servers the path and query that the caller wrote

Cause: Armeria normalizes path and query before a service sees them (%7e to ~, %20 to +), and keeps the raw path only, not the raw query. The server got another request than the caller had sent.

Change: a handler between Armeria's codec and its request decoder notes the text; the service takes path and query from it. Armeria builds that part of the pipeline from the first four bytes of a connection, so the handler is added after they were seen.

Ruled out: ServiceRequestContext.rawPath(), which lacks the query.

--- a/gateway/src/main/java/org/bambooarch/gateway/Gateway.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/Gateway.java
@@ -18,6 +18,7 @@
 import org.bambooarch.gateway.caller.DirectoryFormat;
 import org.bambooarch.gateway.caller.DirectoryService;
 import org.bambooarch.gateway.caller.PortService;
+import org.bambooarch.gateway.caller.RawTargets;
 import org.bambooarch.gateway.caller.ReadyService;
 import org.bambooarch.gateway.control.ControlState;
 import org.bambooarch.gateway.control.PeerSocket;
@@ -129,6 +130,7 @@
         .maxRequestLength(0)
         .requestTimeoutMillis(0)
         .idleTimeoutMillis(CALLER_IDLE_MILLIS)
+        .childChannelPipelineCustomizer(RawTargets::install)
         .service("prefix:/", byPort)
         .build();
   }
--- a/gateway/src/main/java/org/bambooarch/gateway/request/CallerService.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/CallerService.java
@@ -16,6 +16,7 @@
 import org.bambooarch.core.steering.config.CustomerPolicy;
 import org.bambooarch.core.steering.config.ServiceRoute;
 import org.bambooarch.core.steering.config.SteeringConfig;
+import org.bambooarch.gateway.caller.RawTargets;
 import org.bambooarch.gateway.control.ControlState;
 import org.bambooarch.gateway.operators.GatewayMetrics;
 import org.bambooarch.gateway.operators.RequestOutcome;
@@ -47,8 +48,9 @@
   }
 
   @Override
-  public HttpResponse serve(ServiceRequestContext armeria, HttpRequest request) {
-    RequestHeaders headers = request.headers();
+  public HttpResponse serve(ServiceRequestContext armeria, HttpRequest normalized) {
+    RequestHeaders headers = RawTargets.restore(normalized.headers());
+    HttpRequest request = normalized.withHeaders(headers);
     CallerHeaders caller = context.format().readCaller(headers);
     ControlState state = context.state();
     if (refusing) {
