End the rehearsal's threads before the archive of classes is written

Cause: the JVM crashed (SIGSEGV in find_lambda_proxy_class) in bin/build-deploy, 2 of 2 builds of: `rehearse` ended while Armeria's thread that stops the server still linked lambdas, and the archive is written at that moment. Nothing waited for the end of the rehearsal's servers.

Change: Gateway.closeAsync and Rehearsal.run tell when their threads are done; `rehearse` waits for it and for its event loop. An instance that goes on still does not wait.

--- a/cli/src/main/java/org/bambooarch/cli/command/RehearseCommand.java
+++ b/cli/src/main/java/org/bambooarch/cli/command/RehearseCommand.java
@@ -1,6 +1,7 @@
 package org.bambooarch.cli.command;
 
 import io.netty.channel.EventLoopGroup;
+import java.util.concurrent.TimeUnit;
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
 import org.bambooarch.cli.Command;
@@ -15,6 +16,9 @@
  */
 final class RehearseCommand implements Command {
 
+  /** Longest wait for the event loop to end, in seconds; it has nothing left to do. */
+  private static final long SHUTDOWN_SECONDS = 5;
+
   @Override
   public String name() {
     return "rehearse";
@@ -37,8 +41,9 @@
   public ExitCode run(OptionSet options, Console console) throws CommandException {
     Arguments.exactly(0, "no arguments", options);
     EventLoopGroup loops = Transports.oneLoop();
-    PlatformInstance.rehearsal(loops).run();
-    loops.shutdownGracefully();
+    // The archive of classes is written when the process ends, and no thread may load one then.
+    PlatformInstance.rehearsal(loops).run().join();
+    loops.shutdownGracefully(0, SHUTDOWN_SECONDS, TimeUnit.SECONDS).syncUninterruptibly();
     return ExitCode.DONE;
   }
 }
--- a/gateway/src/main/java/org/bambooarch/gateway/Gateway.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/Gateway.java
@@ -238,16 +238,23 @@
   /** Stops at once; requests that run are cut, and the ports are free a little later. */
   @Override
   public void close() {
-    server
-        .stop()
-        .exceptionally(
-            failure -> {
-              Logger.warn("event=server-stop-failed reason=\"{}\"", failure.toString());
-              return null;
-            });
+    closeAsync();
+  }
+
+  /** Stops at once, like {@link #close()}; completes when the server's threads are done. */
+  public CompletableFuture<Void> closeAsync() {
+    CompletableFuture<Void> serverStopped =
+        server
+            .stop()
+            .exceptionally(
+                failure -> {
+                  Logger.warn("event=server-stop-failed reason=\"{}\"", failure.toString());
+                  return null;
+                });
     loop.submit(storeLink::stop).syncUninterruptibly();
     loop.submit(connections::close).syncUninterruptibly();
     peers.close();
     log.close();
+    return serverStopped;
   }
 }
--- a/gateway/src/main/java/org/bambooarch/gateway/rehearsal/Rehearsal.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/rehearsal/Rehearsal.java
@@ -50,6 +50,7 @@
   private final DirectoryFormat directory;
   private final EventLoopGroup loops;
   private final Clock clock;
+  private CompletableFuture<Void> ended = CompletableFuture.completedFuture(null);
 
   /** Creates a rehearsal with the formats and the event loop that the process will use. */
   public Rehearsal(
@@ -60,8 +61,13 @@
     this.clock = clock;
   }
 
-  /** Runs the rehearsal; a failure is logged and leaves the process as it was. */
-  public void run() {
+  /**
+   * Runs the rehearsal; a failure is logged and leaves the process as it was.
+   *
+   * @return completes when the threads of the rehearsal have ended; a process that goes on need not
+   *     wait for it
+   */
+  public CompletableFuture<Void> run() {
     long startedNanos = clock.monotonicNanos();
     try {
       int answered = play();
@@ -72,6 +78,7 @@
     } catch (IOException | CompletionException e) {
       Logger.warn("event=rehearsal-failed reason=\"{}\"", e.toString());
     }
+    return ended;
   }
 
   private int play() throws IOException {
@@ -97,10 +104,8 @@
       gateway.start();
       return send(WebClient.builder("h1c://127.0.0.1:" + ports[0]).factory(clients).build());
     } finally {
-      // Nothing waits for these: their threads end by themselves.
-      gateway.close();
-      clients.closeAsync();
-      server.closeAsync();
+      ended =
+          CompletableFuture.allOf(gateway.closeAsync(), clients.closeAsync(), server.closeAsync());
     }
   }
 
