Admit customers and further sends at once after a start

RetryAllowance lost its initial right at the first send, because the merge took the ratio as the whole initial value.

Change: rates are divided when the list of instances is read; a customer begins with one token; a service begins with one further send.

Tests: fresh instances refuse next to nothing; a kill of all under a hot customer keeps the rate; RetryAllowance had no test.

--- a/core/src/main/java/org/bambooarch/core/steering/fleet/CustomerShares.java
+++ b/core/src/main/java/org/bambooarch/core/steering/fleet/CustomerShares.java
@@ -57,6 +57,15 @@
   /** Part of a window's limit that bounds both, however many instances there are. */
   static final double MOST_UNKNOWN_PART = 0.5;
 
+  /**
+   * Part of a window's limit that a run before this one, of the whole fleet, may have admitted:
+   * what a customer at its rate has left of its window when instances are back after a kill.
+   */
+  static final double BEFORE_START_PART = 0.3;
+
+  /** Tokens of a customer at the start, in requests: enough until the instances are known. */
+  private static final double FIRST_TOKENS = 1;
+
   /** Instances that are assumed before the list of instances was read. */
   private static final int UNLISTED_INSTANCES = 20;
 
@@ -93,10 +102,21 @@
     private double uncutDemandPart;
     private double knownDemandPerSecond;
     private long refilledNanos;
+    private final long createdNanos;
+    private final long windowNanos;
 
     private Bucket(double windowSeconds, long nowNanos) {
-      admitted = new SlidingCount((long) (windowSeconds * NANOS_PER_SECOND), nowNanos);
+      windowNanos = (long) (windowSeconds * NANOS_PER_SECOND);
+      admitted = new SlidingCount(windowNanos, nowNanos);
+      capacity = FIRST_TOKENS;
+      tokens = FIRST_TOKENS;
       refilledNanos = nowNanos;
+      createdNanos = nowNanos;
+    }
+
+    private double admittedBeforeStart(long nowNanos) {
+      double gone = (double) (nowNanos - createdNanos) / windowNanos;
+      return Math.max(0, 1 - gone) * BEFORE_START_PART * limitPerWindow;
     }
 
     private int unknownToOthers() {
@@ -133,7 +153,7 @@
     Bucket bucket = bucket(customer.name(), nowNanos);
     bucket.askedSinceTick++;
     refill(bucket, nowNanos);
-    int admitted = bucket.admittedInWindow(nowNanos);
+    double admitted = bucket.admittedInWindow(nowNanos) + bucket.admittedBeforeStart(nowNanos);
     int rank = Math.clamp(priority, 0, RESERVED_PART_BY_PRIORITY.length - 1);
     double reserved = bucket.isPressed() ? bucket.capacity * RESERVED_PART_BY_PRIORITY[rank] : 0;
     boolean inShare = bucket.tokens >= 1 + reserved && admitted < FULL_PART * bucket.limitPerWindow;
--- a/core/src/main/java/org/bambooarch/core/steering/fleet/RetryAllowance.java
+++ b/core/src/main/java/org/bambooarch/core/steering/fleet/RetryAllowance.java
@@ -16,6 +16,9 @@
   /** Part of the allowed ratio that is used, for requests that the fleet counts later. */
   static final double RATIO_PART = 0.7;
 
+  /** Further sends of a service at the start, so that a first failure is not the caller's. */
+  private static final double FIRST_TOKENS = 1;
+
   private final double ratio;
   private final double capacity;
   private final Map<String, Double> tokens = new HashMap<>();
@@ -33,16 +36,20 @@
 
   /** Counts a first send. */
   public void onFirstSend(String service) {
-    tokens.merge(service, ratio, (held, earned) -> Math.min(capacity, held + earned));
+    tokens.put(service, Math.min(capacity, held(service) + ratio));
   }
 
   /** Takes the right to send a request of a service once more, if there is one. */
   public boolean tryTake(String service) {
-    double held = tokens.getOrDefault(service, Math.min(1, capacity));
+    double held = held(service);
     if (held < 1) {
       return false;
     }
     tokens.put(service, held - 1);
     return true;
   }
+
+  private double held(String service) {
+    return tokens.getOrDefault(service, FIRST_TOKENS);
+  }
 }
--- a/core/src/test/java/org/bambooarch/core/steering/fleet/CustomerSharesTest.java
+++ b/core/src/test/java/org/bambooarch/core/steering/fleet/CustomerSharesTest.java
@@ -38,12 +38,19 @@
       config =
           new SteeringConfig(
               1, List.of(), List.of(), List.of(customer), new CallerLimits(1, 1, 1, 1));
+      restart();
+    }
+
+    /** Kills all instances and starts them anew, with nothing remembered. */
+    private void restart() {
+      tables.clear();
+      shares.clear();
       for (int i = 0; i < INSTANCES; i++) {
         tables.add(new FleetTable(new InstanceIdentity("entry-" + i, 1, "r", "dc", "a:1", "a:2")));
         shares.add(new CustomerShares(tables.get(i), TOLERANCE));
       }
       for (FleetTable table : tables) {
-        tables.forEach(other -> table.onListed(other.self(), 0));
+        tables.forEach(other -> table.onListed(other.self(), nowNanos()));
         table.onListRead();
       }
     }
@@ -214,6 +221,54 @@
         .isLessThanOrEqualTo(fleet.asked / 100);
   }
 
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5})
+  void should_refuse_next_to_nothing_within_the_rate_when_all_instances_have_just_started(
+      long seed) {
+    for (double rate : new double[] {5, 10, 25, 100}) {
+      Random random = new Random(seed);
+      Fleet fleet = new Fleet(rate, rate);
+      for (int life = 0; life < 20; life++) {
+        fleet.restart();
+        for (int step = 0; step < 30; step++) {
+          fleet.tick((from, to) -> true);
+          int requests = poisson(random, rate / 1.6 * TICK_MILLIS / 1_000);
+          for (int n = 0; n < requests; n++) {
+            fleet.ask(random.nextInt(INSTANCES));
+          }
+        }
+        fleet.nowMillis += 10_000;
+      }
+      assertThat(fleet.refused)
+          .as("rate %s, refused of %s", rate, fleet.asked)
+          .isLessThanOrEqualTo(fleet.asked / 100);
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5})
+  void should_keep_the_rate_when_all_instances_are_killed_while_a_customer_asks_too_much(
+      long seed) {
+    for (double rate : new double[] {5, 10, 25, 100}) {
+      Random random = new Random(seed);
+      Fleet fleet = new Fleet(rate, rate);
+      for (int step = 0; step < 400; step++) {
+        if (step % 100 == 99) {
+          fleet.nowMillis += 2_000;
+          fleet.restart();
+        }
+        fleet.tick((from, to) -> true);
+        int requests = poisson(random, rate * 8 * TICK_MILLIS / 1_000);
+        for (int n = 0; n < requests; n++) {
+          fleet.ask(random.nextInt(INSTANCES));
+        }
+      }
+      assertThat(fleet.mostInWindow)
+          .as("rate %s", rate)
+          .isLessThanOrEqualTo((int) fleet.allowedInWindow());
+    }
+  }
+
   /** Plays a minute of requests at the part of the rate that customers usually ask. */
   private static Fleet askWithinRate(double ratePerSecond, long seed) {
     Random random = new Random(seed);
@@ -246,6 +301,18 @@
     assertThat(urgent).isGreaterThan(other);
   }
 
+  @Test
+  void should_admit_a_customers_first_request_before_the_other_instances_are_known() {
+    Fleet fleet = new Fleet(10, 10);
+    FleetTable unlisted = new FleetTable(new InstanceIdentity("entry-0", 1, "r", "dc", "a", "b"));
+    CustomerShares shares = new CustomerShares(unlisted, TOLERANCE);
+
+    shares.tick(fleet.config, fleet.nowNanos(), 0);
+
+    assertThat(shares.tryTake(fleet.customer, 0, fleet.nowNanos())).isTrue();
+    assertThat(shares.tryTake(fleet.customer, 0, fleet.nowNanos())).isFalse();
+  }
+
   @Test
   void should_give_a_token_back_when_the_request_ran_nowhere() {
     Fleet fleet = new Fleet(1_000, 1);
--- a/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
@@ -79,6 +79,14 @@
     } else {
       list.changes().forEach(this::apply);
       fleet.onListRead();
+      divideRates();
+    }
+  }
+
+  /** Customers' requests may come before the next tick. */
+  private void divideRates() {
+    if (config != null) {
+      shares.tick(config, clock.monotonicNanos(), 0);
     }
   }
 
@@ -168,7 +176,7 @@
         newest.version(),
         config == null ? 0 : config.version());
     config = newest;
-    shares.tick(config, clock.monotonicNanos(), 0);
+    divideRates();
   }
 
   private long coldStartMillis(String service) {
