Write the log off all threads that serve requests

Cause: lines about single requests went through a bounded queue, but lines about the instance's state were printed by the traffic thread, which would have waited for a reader that does not read. Suppressed lines were counted together, so a flood of one cause hid another. Lines about requests had neither time nor instance.

Change: the standard output of an instance is one bounded queue for both kinds; what finds it full is dropped and counted in a line and in the metric. Suppressed lines are counted by cause, in a line a second. Each line about a request begins with time, level and instance.

Tests: a blocked reader holds nobody up; 300 refusals in a second give 20 lines and two counts.

--- a/cli/src/main/java/org/bambooarch/cli/command/GatewayCommand.java
+++ b/cli/src/main/java/org/bambooarch/cli/command/GatewayCommand.java
@@ -11,6 +11,7 @@
 import org.bambooarch.cli.ExitCode;
 import org.bambooarch.core.time.SystemClock;
 import org.bambooarch.gateway.Gateway;
+import org.bambooarch.gateway.operators.LineQueue;
 import org.bambooarch.platform.PlatformInstance;
 import org.bambooarch.platform.PlatformSettings;
 import org.bambooarch.platform.wire.WireFormatException;
@@ -46,6 +47,8 @@
   @Override
   public ExitCode run(OptionSet options, Console console) throws CommandException {
     Arguments.exactly(0, "no arguments", options);
+    // No thread that serves requests may wait for whoever reads the log.
+    System.setOut(LineQueue.ofProcess().asStream());
     Path file = fileOf(options);
     PlatformSettings settings = read(file);
     Gateway gateway = PlatformInstance.of(settings);
@@ -54,6 +57,7 @@
     StopSignals signals = StopSignals.listen(() -> {});
     signals.await();
     gateway.stopGracefully().join();
+    LineQueue.ofProcess().close();
     return ExitCode.DONE;
   }
 
--- a/gateway/src/main/java/org/bambooarch/gateway/Gateway.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/Gateway.java
@@ -25,6 +25,7 @@
 import org.bambooarch.gateway.control.StoreLink;
 import org.bambooarch.gateway.operators.DecisionLog;
 import org.bambooarch.gateway.operators.GatewayMetrics;
+import org.bambooarch.gateway.operators.LineQueue;
 import org.bambooarch.gateway.port.ControlStore;
 import org.bambooarch.gateway.port.RequestFormat;
 import org.bambooarch.gateway.request.CallerService;
@@ -96,7 +97,7 @@
     this.state = new ControlState(settings, clock);
     this.storeLink = new StoreLink(store, state, loop, random);
     this.connections = new TargetConnections(requests, loop, clock);
-    this.log = new DecisionLog(System.out, clock.monotonicNanos());
+    this.log = new DecisionLog(LineQueue.ofProcess(), settings.identity().name(), clock);
     this.callers =
         new CallerService(
             new RequestContext(state, connections, requests, loop, metrics, log, random));
@@ -155,7 +156,9 @@
         "Instances whose heartbeats arrive, this one included.",
         () -> state.fleet().live(clock.monotonicNanos()).size() + 1);
     metrics.gauge(
-        "bambooarch_log_lines_dropped", "Log lines that found no room.", log::droppedLines);
+        "bambooarch_log_lines_dropped",
+        "Log lines that found no room.",
+        LineQueue.ofProcess()::droppedLines);
   }
 
   /** Starts to listen, to follow the store and to talk to other instances. */
@@ -175,6 +178,7 @@
   private void tick() {
     try {
       state.tick();
+      log.tick();
       connections.retainOnly(state.servers());
       long nowNanos = clock.monotonicNanos();
       if (nowNanos - heartbeatNanos >= FleetTable.HEARTBEAT_NANOS) {
@@ -254,7 +258,6 @@
     loop.submit(storeLink::stop).syncUninterruptibly();
     loop.submit(connections::close).syncUninterruptibly();
     peers.close();
-    log.close();
     return serverStopped;
   }
 }
--- a/gateway/src/main/java/org/bambooarch/gateway/operators/DecisionLog.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/operators/DecisionLog.java
@@ -1,48 +1,42 @@
 package org.bambooarch.gateway.operators;
 
-import java.io.PrintStream;
-import java.util.concurrent.ArrayBlockingQueue;
-import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.atomic.AtomicLong;
+import java.time.Instant;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.bambooarch.core.time.Clock;
 
 /**
- * The lines about single requests, written by a thread of their own.
+ * The lines about single requests of one instance.
  *
- * <p>The traffic thread never waits: lines go into a bounded queue, and what finds it full is
- * counted and dropped. Answers are sampled; all other outcomes are written up to a rate and counted
- * beyond it.
+ * <p>Answers are sampled. All other outcomes are written up to a rate; beyond it they are counted,
+ * and one line a second and cause tells how many there were.
+ *
+ * <p>Not thread-safe.
  */
-public final class DecisionLog implements AutoCloseable {
-
-  private static final int QUEUED_LINES = 512;
+public final class DecisionLog {
 
   /** Lines a second about requests that were not answered: enough to find any cause. */
-  private static final int LINES_PER_SECOND = 20;
+  static final int LINES_PER_SECOND = 20;
 
   /** One of this many answered requests is written. */
   private static final int ANSWERED_SAMPLE = 64;
 
   private static final long NANOS_PER_SECOND = 1_000_000_000L;
 
-  private final BlockingQueue<String> queue = new ArrayBlockingQueue<>(QUEUED_LINES);
-  private final AtomicLong dropped = new AtomicLong();
-  private final PrintStream out;
-  private final Thread writer;
+  private final LineQueue lines;
+  private final String instance;
+  private final Clock clock;
+  private final Map<String, Integer> suppressedByCause = new LinkedHashMap<>();
   private long secondStartedNanos;
   private int linesThisSecond;
-  private long suppressedThisSecond;
   private long answered;
 
-  /** Creates a log that writes to a stream. */
-  public DecisionLog(PrintStream out, long nowNanos) {
-    this.out = out;
-    this.secondStartedNanos = nowNanos;
-    this.writer = Thread.ofPlatform().daemon().name("decision-log").start(this::writeLines);
-  }
-
-  /** Returns how many lines were dropped because the queue was full. */
-  public long droppedLines() {
-    return dropped.get();
+  /** Creates the log of an instance. */
+  public DecisionLog(LineQueue lines, String instance, Clock clock) {
+    this.lines = lines;
+    this.instance = instance;
+    this.clock = clock;
+    this.secondStartedNanos = clock.monotonicNanos();
   }
 
   /** Returns whether the next answered request is to be written. */
@@ -50,43 +44,33 @@
     return answered++ % ANSWERED_SAMPLE == 0;
   }
 
-  /** Returns whether another line fits into this second; counts it otherwise. */
-  public boolean hasRoom(long nowNanos) {
-    if (nowNanos - secondStartedNanos >= NANOS_PER_SECOND) {
-      if (suppressedThisSecond > 0) {
-        write("event=lines-suppressed lines=" + suppressedThisSecond);
-      }
-      secondStartedNanos = nowNanos;
-      linesThisSecond = 0;
-      suppressedThisSecond = 0;
-    }
+  /** Returns whether another line about a cause fits into this second; counts it otherwise. */
+  public boolean hasRoom(String cause) {
+    tick();
     if (linesThisSecond >= LINES_PER_SECOND) {
-      suppressedThisSecond++;
+      suppressedByCause.merge(cause, 1, Integer::sum);
       return false;
     }
     linesThisSecond++;
     return true;
   }
 
-  /** Writes a line, or drops it if the stream does not keep up. */
-  public void write(String line) {
-    if (!queue.offer(line)) {
-      dropped.incrementAndGet();
+  /** Tells what was not written in the last second, if it is over. */
+  public void tick() {
+    long nowNanos = clock.monotonicNanos();
+    if (nowNanos - secondStartedNanos < NANOS_PER_SECOND) {
+      return;
     }
+    secondStartedNanos = nowNanos;
+    linesThisSecond = 0;
+    suppressedByCause.forEach(
+        (cause, count) -> write("event=lines-suppressed cause=" + cause + " lines=" + count));
+    suppressedByCause.clear();
   }
 
-  private void writeLines() {
-    try {
-      while (true) {
-        out.println(queue.take());
-      }
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
-  }
-
-  @Override
-  public void close() {
-    writer.interrupt();
+  /** Writes a line with the time and the name of the instance before it. */
+  public void write(String line) {
+    Instant now = Instant.ofEpochMilli(clock.wallMillis());
+    lines.offer("time=" + now + " level=INFO instance=" + instance + " " + line);
   }
 }
--- a/gateway/src/main/java/org/bambooarch/gateway/request/CallerService.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/CallerService.java
@@ -141,9 +141,8 @@
       int status,
       long retryAfterMillis,
       String inputs) {
-    long nowNanos = context.state().clock().monotonicNanos();
     context.metrics().onFinished(outcome, 0);
-    if (context.log().hasRoom(nowNanos)) {
+    if (context.log().hasRoom(GatewayMetrics.labelOf(outcome))) {
       context
           .log()
           .write(
--- a/gateway/src/main/java/org/bambooarch/gateway/request/RequestRun.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/RequestRun.java
@@ -22,6 +22,7 @@
 import org.bambooarch.core.steering.place.PlacementQuery;
 import org.bambooarch.core.steering.place.ServerCell;
 import org.bambooarch.gateway.control.ControlState;
+import org.bambooarch.gateway.operators.GatewayMetrics;
 import org.bambooarch.gateway.operators.RequestOutcome;
 import org.bambooarch.gateway.port.AnswerHeaders;
 import org.bambooarch.gateway.port.CallerHeaders;
@@ -404,7 +405,7 @@
     boolean logged =
         outcome == RequestOutcome.ANSWERED
             ? context.log().samplesAnswer()
-            : context.log().hasRoom(nowNanos);
+            : context.log().hasRoom(GatewayMetrics.labelOf(outcome));
     if (logged) {
       context.log().write(line(outcome, status, cause, nowNanos));
     }
@@ -429,7 +430,7 @@
   }
 
   private void logAttempt(ServerCell cell, Ending ending, RequestPlan.Step step, String cause) {
-    if (context.log().hasRoom(state.clock().monotonicNanos())) {
+    if (context.log().hasRoom("attempt-failed")) {
       context
           .log()
           .write(
--- /dev/null
+++ b/gateway/src/test/java/org/bambooarch/gateway/operators/DecisionLogTest.java
@@ -0,0 +1,108 @@
+package org.bambooarch.gateway.operators;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.bambooarch.core.time.ManualClock;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+@Timeout(value = 20, unit = TimeUnit.SECONDS)
+class DecisionLogTest {
+
+  private final ManualClock clock = ManualClock.startingAtZero();
+
+  /** An output that nobody reads until it is told to go on. */
+  private static final class BlockedOutput extends OutputStream {
+
+    private final CountDownLatch blocked = new CountDownLatch(1);
+    private final CountDownLatch readOn = new CountDownLatch(1);
+    private final ByteArrayOutputStream text = new ByteArrayOutputStream();
+
+    @Override
+    public void write(int octet) throws IOException {
+      blocked.countDown();
+      try {
+        readOn.await();
+      } catch (InterruptedException e) {
+        throw new IOException("interrupted", e);
+      }
+      text.write(octet);
+    }
+  }
+
+  private static String textOf(ByteArrayOutputStream bytes) {
+    return bytes.toString(StandardCharsets.UTF_8);
+  }
+
+  @Test
+  void should_drop_lines_and_never_wait_when_nobody_reads_the_output() throws Exception {
+    BlockedOutput output = new BlockedOutput();
+    LineQueue lines = new LineQueue(new PrintStream(output));
+    lines.offer("first");
+    output.blocked.await();
+
+    for (int i = 0; i < 2 * LineQueue.QUEUED_LINES; i++) {
+      lines.offer("line " + i);
+    }
+
+    assertThat(lines.droppedLines()).isEqualTo(LineQueue.QUEUED_LINES);
+    output.readOn.countDown();
+    lines.close();
+    assertThat(textOf(output.text)).contains("event=lines-dropped lines=512");
+  }
+
+  @Test
+  void should_write_few_lines_a_second_and_count_the_others_by_cause_when_all_are_refused() {
+    ByteArrayOutputStream output = new ByteArrayOutputStream();
+    LineQueue lines = new LineQueue(new PrintStream(output));
+    DecisionLog log = new DecisionLog(lines, "entry-1", clock);
+    for (int i = 0; i < 300; i++) {
+      String cause = i % 3 == 0 ? "over-rate" : "no-room";
+      if (log.hasRoom(cause)) {
+        log.write("event=request-refused outcome=" + cause);
+      }
+    }
+    clock.advanceMillis(1_000);
+    log.tick();
+    lines.close();
+
+    assertThat(textOf(output).lines().filter(line -> line.contains("request-refused")))
+        .hasSize(DecisionLog.LINES_PER_SECOND);
+    assertThat(textOf(output))
+        .contains("event=lines-suppressed cause=over-rate lines=93")
+        .contains("event=lines-suppressed cause=no-room lines=187");
+  }
+
+  @Test
+  void should_begin_each_line_with_the_time_and_the_instance() {
+    ByteArrayOutputStream output = new ByteArrayOutputStream();
+    LineQueue lines = new LineQueue(new PrintStream(output));
+    clock.advanceMillis(1_500);
+
+    new DecisionLog(lines, "entry-1", clock).write("event=x");
+    lines.close();
+
+    assertThat(textOf(output))
+        .startsWith("time=1970-01-01T00:00:01.500Z level=INFO instance=entry-1 event=x");
+  }
+
+  @Test
+  void should_cut_into_lines_what_is_printed_to_the_standard_output() {
+    ByteArrayOutputStream output = new ByteArrayOutputStream();
+    LineQueue lines = new LineQueue(new PrintStream(output));
+
+    PrintStream standardOutput = lines.asStream();
+    standardOutput.print("a=1\nb=");
+    standardOutput.printf("2%n");
+    lines.close();
+
+    assertThat(textOf(output).lines()).containsExactly("a=1", "b=2");
+  }
+}
