Tell from logs what became of a request, a server or a version

Adds `bambooarch explain`: it reads the logs of several instances, prints the lines about a request with what its instance believed before, and ends with the cause in a sentence. Lines of one instance stay in the order they were written, also when its time of day jumps; lines that only clocks order are marked. Where no line was written it shows what was suppressed and says so.

--- a/cli/src/main/java/org/bambooarch/cli/CommandErrors.java
+++ b/cli/src/main/java/org/bambooarch/cli/CommandErrors.java
@@ -71,4 +71,9 @@
     return new CommandException(
         ExitCode.INVALID, "cannot read the settings " + file + ": " + cause.getMessage(), cause);
   }
+
+  /** A log file cannot be read. */
+  public static CommandException logUnreadable(Exception cause) {
+    return new CommandException(ExitCode.USAGE, "cannot read a log: " + cause.getMessage(), cause);
+  }
 }
--- a/cli/src/main/java/org/bambooarch/cli/command/Commands.java
+++ b/cli/src/main/java/org/bambooarch/cli/command/Commands.java
@@ -24,6 +24,7 @@
         new EntryCommand(),
         new GatewayCommand(),
         new RehearseCommand(),
+        new ExplainCommand(),
         new StandinPlatformCommand(),
         new StandinTargetCommand());
   }
--- /dev/null
+++ b/cli/src/main/java/org/bambooarch/cli/command/ExplainCommand.java
@@ -0,0 +1,73 @@
+package org.bambooarch.cli.command;
+
+import java.io.IOException;
+import java.util.List;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import org.bambooarch.cli.Command;
+import org.bambooarch.cli.CommandErrors;
+import org.bambooarch.cli.CommandException;
+import org.bambooarch.cli.Console;
+import org.bambooarch.cli.ExitCode;
+import org.bambooarch.cli.explain.Explanation;
+import org.bambooarch.cli.explain.Question;
+
+/** Tells from logs what became of a request, a server or a version of the configuration. */
+final class ExplainCommand implements Command {
+
+  private static final String REQUEST = "request";
+  private static final String SERVER = "server";
+  private static final String VERSION = "version";
+
+  @Override
+  public String name() {
+    return "explain";
+  }
+
+  @Override
+  public String arguments() {
+    return "(--request ID | --server ID | --version N) LOG...";
+  }
+
+  @Override
+  public String summary() {
+    return "tell from logs of instances, one file each or - for one, what happened and why";
+  }
+
+  @Override
+  public void declare(OptionParser options) {
+    options.accepts(REQUEST, "id of a request").withRequiredArg();
+    options.accepts(SERVER, "id of a server").withRequiredArg();
+    options.accepts(VERSION, "version of a configuration").withRequiredArg();
+  }
+
+  @Override
+  public ExitCode run(OptionSet options, Console console) throws CommandException {
+    Question question = question(options);
+    List<String> files = options.nonOptionArguments().stream().map(String::valueOf).toList();
+    if (files.isEmpty()) {
+      throw CommandErrors.wrongArguments("one log file or more", files);
+    }
+    try {
+      for (String line : Explanation.read(files, System.in).answer(question)) {
+        console.line("%s", line);
+      }
+    } catch (IOException e) {
+      throw CommandErrors.logUnreadable(e);
+    }
+    return ExitCode.DONE;
+  }
+
+  private static Question question(OptionSet options) throws CommandException {
+    if (options.has(REQUEST)) {
+      return new Question.OfRequest((String) options.valueOf(REQUEST));
+    }
+    if (options.has(SERVER)) {
+      return new Question.OfServer((String) options.valueOf(SERVER));
+    }
+    if (options.has(VERSION)) {
+      return new Question.OfVersion((String) options.valueOf(VERSION));
+    }
+    throw CommandErrors.wrongArguments("--request, --server or --version", List.of());
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/org/bambooarch/cli/explain/LogFile.java
@@ -0,0 +1,43 @@
+package org.bambooarch.cli.explain;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** Reads the lines of one process. */
+final class LogFile {
+
+  private static final String REHEARSAL = "rehearsal";
+
+  private LogFile() {}
+
+  /**
+   * Reads all lines that have an event.
+   *
+   * @param name name of the instance, until a line tells it
+   */
+  static List<LogLine> read(String name, BufferedReader reader) throws IOException {
+    List<LogLine> lines = new ArrayList<>();
+    String instance = name;
+    Optional<Instant> time = Optional.empty();
+    int position = 0;
+    for (String text = reader.readLine(); text != null; text = reader.readLine()) {
+      position++;
+      Map<String, String> fields = LogLine.fieldsOf(text);
+      if (!fields.containsKey("event")) {
+        continue;
+      }
+      instance = Optional.ofNullable(fields.get("instance")).orElse(instance);
+      Optional<Instant> own = LogLine.timeOf(fields);
+      time = own.isPresent() ? own : time;
+      if (!instance.equals(REHEARSAL)) {
+        lines.add(new LogLine(instance, position, time, fields, text));
+      }
+    }
+    return lines;
+  }
+}
--- a/cli/src/test/java/org/bambooarch/cli/CommandLineTest.java
+++ b/cli/src/test/java/org/bambooarch/cli/CommandLineTest.java
@@ -29,6 +29,9 @@
     "'plan ../examples/swatchnet --platform http://127.0.0.1:1', UNREACHABLE, 'check --platform'",
     "'status --platform http://127.0.0.1:1', UNREACHABLE, 'nothing was changed'",
     "'call /x --entry http://127.0.0.1:1', UNREACHABLE, 'check --entry and that it runs'",
+    "'explain --server x', USAGE, 'expected one log file or more; found []; see --help'",
+    "'explain a.log', USAGE, 'expected --request, --server or --version'",
+    "'explain --request x /no/such/log', USAGE, 'cannot read a log: /no/such/log'",
     "'entry --settings /no/such/file', INVALID, 'settings file /no/such/file cannot be read'",
   })
   void should_say_what_to_do_when_the_line_cannot_be_run(
--- /dev/null
+++ b/cli/src/test/java/org/bambooarch/cli/explain/ExplanationTest.java
@@ -0,0 +1,97 @@
+package org.bambooarch.cli.explain;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.ByteArrayInputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class ExplanationTest {
+
+  private static final String FOLDER = "src/test/resources/explain/";
+  private static final List<String> LOGS = List.of(FOLDER + "entry-1.log", FOLDER + "entry-2.log");
+
+  private static List<String> ask(Question question) throws IOException {
+    return Explanation.read(LOGS, System.in).answer(question);
+  }
+
+  private static List<String> places(List<String> answer) {
+    return answer.stream()
+        .filter(line -> line.matches("[ ~] entry-\\d:\\d+ .*"))
+        .map(line -> line.split(" time=")[0])
+        .toList();
+  }
+
+  @Test
+  void should_show_what_an_instance_believed_before_it_refused_a_request() throws IOException {
+    List<String> answer = ask(new Question.OfRequest("r-over"));
+
+    assertThat(places(answer))
+        .containsExactly("  entry-1:2", "  entry-1:3", "  entry-1:5", "  entry-1:6");
+    assertThat(answer.getLast())
+        .isEqualTo(
+            "cause: customer tika: 40 admitted in the window of a limit of 175,"
+                + " 0.70 tokens left here of a share of 3.13/s");
+  }
+
+  @Test
+  void should_tell_which_server_may_have_run_a_request_whose_connection_was_lost()
+      throws IOException {
+    List<String> answer = ask(new Question.OfRequest("r-lost"));
+
+    assertThat(places(answer))
+        .containsExactly(
+            "  entry-1:2",
+            "  entry-1:3",
+            "  entry-1:4",
+            "  entry-1:5",
+            "  entry-1:7",
+            "  entry-1:8");
+    assertThat(answer.getLast())
+        .startsWith("cause: the connection to server i-878e ended (the server closed the");
+  }
+
+  @Test
+  void should_say_what_was_suppressed_when_no_line_tells_of_a_request() throws IOException {
+    List<String> answer = ask(new Question.OfRequest("r-unknown"));
+
+    assertThat(places(answer)).containsExactly("  entry-2:4");
+    assertThat(answer.getLast()).startsWith("cause: unknown, no line was written");
+  }
+
+  @Test
+  void should_keep_each_instances_order_when_its_time_of_day_jumps_and_mark_what_clocks_order()
+      throws IOException {
+    List<String> answer = ask(new Question.OfServer("i-878e"));
+
+    assertThat(places(answer))
+        .containsExactly(
+            "  entry-1:4", "~ entry-2:3", "~ entry-1:7", "  entry-1:8", "  entry-1:10");
+    assertThat(answer)
+        .contains("lines marked ~: only clocks order them after the line above")
+        .endsWith("5 lines about the server, 1 of failed attempts");
+  }
+
+  @Test
+  void should_tell_which_instances_took_in_a_version() throws IOException {
+    List<String> answer = ask(new Question.OfVersion("4"));
+
+    assertThat(places(answer)).containsExactly("  entry-2:2", "~ entry-1:3");
+    assertThat(answer.getLast()).startsWith("2 of 2 instances took in version 4");
+  }
+
+  @Test
+  void should_read_one_log_from_the_standard_input() throws IOException {
+    var input =
+        new ByteArrayInputStream(
+            "time=bad event=configured version=9".getBytes(StandardCharsets.UTF_8));
+
+    List<String> answer =
+        Explanation.read(List.of(Explanation.STANDARD_INPUT), input)
+            .answer(new Question.OfVersion("9"));
+
+    assertThat(answer.getFirst()).isEqualTo("  -:1 time=bad event=configured version=9");
+  }
+}
--- a/gateway/src/main/java/org/bambooarch/gateway/Gateway.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/Gateway.java
@@ -247,7 +247,7 @@
 
   /** Stops at once, like {@link #close()}; completes when the server's threads are done. */
   public CompletableFuture<Void> closeAsync() {
-    CompletableFuture<Void> serverStopped =
+    final CompletableFuture<Void> serverStopped =
         server
             .stop()
             .exceptionally(
