Say what a request without room was refused from

Change: the chooser returns the region asked, the open, usable and candidate servers, the shortest wait and the longest allowed one; the line carries them, and the cause of the last failed attempt.

--- a/cli/src/main/java/org/bambooarch/cli/explain/Causes.java
+++ b/cli/src/main/java/org/bambooarch/cli/explain/Causes.java
@@ -23,7 +23,7 @@
       case "too-large" -> "the body is over the limit of version " + last.field("config");
       case "over-rate" -> overRate(last);
       case "crashes-servers" -> "the same request ended with the death of servers before";
-      case "no-room" -> "the object's servers and the queue before them were full";
+      case "no-room" -> noRoom(last);
       case "rejected" ->
           "server " + last.field("server") + " did not run it, and no other was tried";
       case "stopping" -> "the instance was about to stop";
@@ -42,6 +42,18 @@
     return "(after " + last.field("took-millis") + " ms)";
   }
 
+  private static String noRoom(LogLine last) {
+    return ("%s of %s open servers were usable, %s of them for the object in region %s; the shortest"
+            + " wait was %s ms, allowed were %s ms")
+        .formatted(
+            last.field("usable"),
+            last.field("open"),
+            last.field("candidates"),
+            last.field("region"),
+            last.field("shortest-wait-millis"),
+            last.field("longest-wait-millis"));
+  }
+
   private static String overRate(LogLine last) {
     return "customer %s: %s admitted in the window of a limit of %s, %s tokens left here of a share of %s/s"
         .formatted(
--- a/core/src/main/java/org/bambooarch/core/steering/place/Placement.java
+++ b/core/src/main/java/org/bambooarch/core/steering/place/Placement.java
@@ -15,7 +15,7 @@
    * No server has room soon enough.
    *
    * @param retryAfterMillis when room is expected, in milliseconds from now
-   * @param openServers servers of the service that may get requests at all
+   * @param shortage what the decision was made from
    */
-  record NoRoom(long retryAfterMillis, int openServers) implements Placement {}
+  record NoRoom(long retryAfterMillis, Shortage shortage) implements Placement {}
 }
--- a/core/src/main/java/org/bambooarch/core/steering/place/ServerChooser.java
+++ b/core/src/main/java/org/bambooarch/core/steering/place/ServerChooser.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 import org.bambooarch.core.steering.config.ServicePolicy;
 import org.bambooarch.core.steering.hash.Hashes;
 
@@ -41,6 +42,7 @@
   /** Preference for each server over the next in rank, as a part of its work. */
   private static final double RANK_PENALTY = 0.1;
 
+  private static final double NANOS_PER_MILLI = 1e6;
   private static final long MIN_RETRY_AFTER_MILLIS = 100;
   private static final long MAX_RETRY_AFTER_MILLIS = 2_000;
 
@@ -78,11 +80,49 @@
       }
     }
     String wanted = wantedRegion(query, usable);
-    Placement placement = chooseAmong(query, policy, inRegion(usable, wanted), nowNanos);
-    if (placement instanceof Placement.Chosen) {
-      return placement;
+    List<ServerCell> asked = inRegion(usable, wanted);
+    Optional<Placement> placement = chooseAmong(query, policy, asked, nowNanos);
+    if (placement.isPresent()) {
+      return placement.get();
     }
-    return new Placement.NoRoom(retryAfterMillis(query, usable, nowNanos), open.size());
+    return new Placement.NoRoom(
+        retryAfterMillis(query, usable, nowNanos),
+        shortage(query, wanted, open.size(), usable.size(), asked, nowNanos));
+  }
+
+  private Shortage shortage(
+      PlacementQuery query,
+      String wanted,
+      int open,
+      int usable,
+      List<ServerCell> asked,
+      long nowNanos) {
+    List<ServerCell> candidates = candidates(query, rank(query, asked), nowNanos);
+    double shortestNanos =
+        candidates.stream()
+            .mapToDouble(cell -> waitNanos(cell, query.service(), nowNanos))
+            .min()
+            .orElse(-NANOS_PER_MILLI);
+    return new Shortage(
+        wanted,
+        open,
+        usable,
+        candidates.size(),
+        (long) (shortestNanos / NANOS_PER_MILLI),
+        (long) (longestWaitNanos(query) / NANOS_PER_MILLI));
+  }
+
+  /** Returns the servers that an object uses, of servers in rank. */
+  private List<ServerCell> candidates(
+      PlacementQuery query, List<ServerCell> ranked, long nowNanos) {
+    List<ServerCell> candidates = new ArrayList<>();
+    for (int i = 0; i < ranked.size(); i++) {
+      ServerCell cell = ranked.get(i);
+      if (i < SERVERS_PER_OBJECT || times.isKnownWarm(query.objectHash(), cell, nowNanos)) {
+        candidates.add(cell);
+      }
+    }
+    return candidates;
   }
 
   private static boolean isHome(PlacementQuery query, ServerCell cell) {
@@ -109,14 +149,14 @@
     return cells.stream().filter(cell -> cell.region().equals(region)).toList();
   }
 
-  private Placement chooseAmong(
+  private Optional<Placement> chooseAmong(
       PlacementQuery query, ServicePolicy policy, List<ServerCell> cells, long nowNanos) {
     List<ServerCell> warm = new ArrayList<>();
     for (ServerCell cell : rank(query, cells)) {
       if (!cell.isCold(nowNanos)) {
         warm.add(cell);
       } else if (mayTakeCold(cell, policy, nowNanos)) {
-        return new Placement.Chosen(cell, cell.load(nowNanos));
+        return Optional.of(new Placement.Chosen(cell, cell.load(nowNanos)));
       }
     }
     return earliest(query, warm, nowNanos);
@@ -137,7 +177,8 @@
   }
 
   /** Returns the server whose answer is expected first, if its queue is short enough. */
-  private Placement earliest(PlacementQuery query, List<ServerCell> ranked, long nowNanos) {
+  private Optional<Placement> earliest(
+      PlacementQuery query, List<ServerCell> ranked, long nowNanos) {
     ServerCell best = null;
     double bestNanos = Double.MAX_VALUE;
     double longestWaitNanos = longestWaitNanos(query);
@@ -154,9 +195,9 @@
       }
     }
     if (best == null || bestNanos > query.remainingNanos()) {
-      return new Placement.NoRoom(0, ranked.size());
+      return Optional.empty();
     }
-    return new Placement.Chosen(best, best.load(nowNanos));
+    return Optional.of(new Placement.Chosen(best, best.load(nowNanos)));
   }
 
   private double workNanos(PlacementQuery query, ServerCell cell, int rank, long nowNanos) {
@@ -190,7 +231,8 @@
     for (ServerCell cell : usable) {
       waitNanos = Math.min(waitNanos, waitNanos(cell, query.service(), nowNanos));
     }
-    long millis = (long) (waitNanos / 1e6 * (0.75 + Hashes.unit(query.objectHash()) / 2));
+    long millis =
+        (long) (waitNanos / NANOS_PER_MILLI * (0.75 + Hashes.unit(query.objectHash()) / 2));
     return Math.clamp(millis, MIN_RETRY_AFTER_MILLIS, MAX_RETRY_AFTER_MILLIS);
   }
 
--- a/core/src/test/java/org/bambooarch/core/steering/place/ServerChooserTest.java
+++ b/core/src/test/java/org/bambooarch/core/steering/place/ServerChooserTest.java
@@ -108,6 +108,21 @@
 
     assertThat(chosen).hasSize(2);
     assertThat(((Placement.NoRoom) placement).retryAfterMillis()).isBetween(100L, 2_000L);
+    Shortage shortage = ((Placement.NoRoom) placement).shortage();
+    assertThat(shortage.openServers()).isEqualTo(4);
+    assertThat(shortage.candidates()).isEqualTo(2);
+    assertThat(shortage.shortestWaitMillis()).isGreaterThan(shortage.longestWaitMillis());
+  }
+
+  @Test
+  void should_say_that_nobody_was_asked_when_a_service_has_no_server() {
+    listServers();
+
+    Placement placement = chooser.choose(query("object", 0, Set.of()), POLICY, 0);
+
+    Shortage shortage = ((Placement.NoRoom) placement).shortage();
+    assertThat(shortage.openServers()).isZero();
+    assertThat(shortage.shortestWaitMillis()).isEqualTo(-1);
   }
 
   @Test
--- a/gateway/src/main/java/org/bambooarch/gateway/request/RequestLines.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/RequestLines.java
@@ -14,6 +14,7 @@
    *
    * @param server name of the last server, or a dash
    * @param load requests that the server has now
+   * @param inputs fields of what the last decision was made from, or nothing
    */
   record Finished(
       String requestId,
@@ -28,14 +29,15 @@
       int load,
       int sends,
       long tookMillis,
-      long configVersion) {
+      long configVersion,
+      String inputs) {
 
     String line() {
       return "event=request-finished request=%s route=%s service=%s customer=%s object=%s"
               .formatted(requestId, route, service, customer, object)
           + " outcome=%s status=%d cause=\"%s\" server=%s load=%d sends=%d"
               .formatted(GatewayMetrics.labelOf(outcome), status, cause, server, load, sends)
-          + " took-millis=%d config=%d".formatted(tookMillis, configVersion);
+          + " took-millis=%d config=%d %s".formatted(tookMillis, configVersion, inputs);
     }
   }
 
--- a/gateway/src/main/java/org/bambooarch/gateway/request/RequestRun.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/RequestRun.java
@@ -21,6 +21,7 @@
 import org.bambooarch.core.steering.place.Placement;
 import org.bambooarch.core.steering.place.PlacementQuery;
 import org.bambooarch.core.steering.place.ServerCell;
+import org.bambooarch.core.steering.place.Shortage;
 import org.bambooarch.gateway.control.ControlState;
 import org.bambooarch.gateway.operators.GatewayMetrics;
 import org.bambooarch.gateway.operators.RequestOutcome;
@@ -69,6 +70,12 @@
   private boolean streamed;
   private boolean finished;
 
+  /** How the last attempt ended, if one failed. */
+  private String lastLoss = "";
+
+  /** What the last choice of a server was made from, if none had room. */
+  private String inputs = "";
+
   RequestRun(
       RequestContext context,
       RequestHeaders headers,
@@ -140,7 +147,8 @@
     Placement placement = state.chooser().choose(query, policy(), state.clock().monotonicNanos());
     switch (placement) {
       case Placement.Chosen(ServerCell chosen, int load) -> send(chosen, load);
-      case Placement.NoRoom(long retryAfterMillis, int open) -> {
+      case Placement.NoRoom(long retryAfterMillis, Shortage shortage) -> {
+        inputs = shortage.describe();
         if (plan.mayHaveRun()) {
           refuse(RequestOutcome.LOST, 502, 0);
         } else {
@@ -316,6 +324,7 @@
       double serviceNanos = state.chooser().warmNanos(service);
       boolean time = remainingNanos() > serviceNanos * LEAST_TIME_PART;
       RequestPlan.Step step = plan.onEnding(ending, time, !streamed);
+      lastLoss = cause;
       logAttempt(cell, ending, step, cause);
       switch (step) {
         case SEND_ELSEWHERE -> {
@@ -394,7 +403,7 @@
     }
     writer.write(refusal);
     writer.close();
-    finish(outcome, status, "");
+    finish(outcome, status, lastLoss);
   }
 
   private void finish(RequestOutcome outcome, int status, String cause) {
@@ -425,7 +434,8 @@
             server == null ? 0 : server.load(nowNanos),
             plan.sends(),
             (nowNanos - arrivedNanos) / NANOS_PER_MILLI,
-            state.config().map(SteeringConfig::version).orElse(0L))
+            state.config().map(SteeringConfig::version).orElse(0L),
+            inputs)
         .line();
   }
 
