Let a popular request go on after it met two lost connections

Cause: any lost connection counts as the death of a server, and a request that met two was refused for good by all instances: nothing expired, no attempt could clear it, and notes were repeated in every heartbeat, so an answer elsewhere cleared it for half a second only.

Change: two deaths stop a request for ten seconds, three for ten minutes; heartbeats repeat a death for two seconds only.

Ruled out: telling crashes from lost answers by the server's other answers, left for later; it needs a note to be held back until then.

--- /dev/null
+++ b/core/src/test/java/org/bambooarch/core/steering/fleet/CrashHistoryTest.java
@@ -0,0 +1,85 @@
+package org.bambooarch.core.steering.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+class CrashHistoryTest {
+
+  private static final long SECOND = 1_000_000_000L;
+  private static final long REQUEST = 7;
+
+  private final CrashHistory history = new CrashHistory();
+  private final CrashHistory other = new CrashHistory();
+
+  private void kill(int server, long atSeconds) {
+    history.onDeath(REQUEST, server, atSeconds * SECOND - 1, atSeconds * SECOND);
+  }
+
+  private boolean maySend(long atSeconds) {
+    return history.maySend(REQUEST, atSeconds * SECOND);
+  }
+
+  @Test
+  void should_stop_a_request_when_two_servers_died_of_it() {
+    kill(1, 1);
+    assertThat(maySend(1)).isTrue();
+    kill(2, 2);
+    assertThat(maySend(2)).isFalse();
+  }
+
+  @Test
+  void should_let_a_popular_request_go_on_ten_seconds_after_it_met_two_lost_connections() {
+    kill(1, 1);
+    kill(2, 2);
+
+    assertThat(maySend(11)).isFalse();
+    assertThat(maySend(12)).isTrue();
+  }
+
+  @Test
+  void should_stop_a_request_for_ten_minutes_when_a_third_server_died_of_it() {
+    kill(1, 1);
+    kill(2, 2);
+    kill(3, 13);
+
+    assertThat(maySend(500)).isFalse();
+    assertThat(maySend(613)).isTrue();
+  }
+
+  @Test
+  void should_count_servers_that_die_at_the_same_moment_once() {
+    history.onDeath(REQUEST, 1, 0, 5 * SECOND);
+    history.onDeath(REQUEST, 2, 1, 5 * SECOND);
+
+    assertThat(maySend(5)).isTrue();
+  }
+
+  @Test
+  void should_stop_a_request_that_killed_servers_of_other_instances() {
+    kill(1, 1);
+    other.onDeath(REQUEST, 2, 2 * SECOND - 1, 2 * SECOND);
+    history.onNotes(other.notes(2 * SECOND), 2 * SECOND);
+
+    assertThat(maySend(3)).isFalse();
+  }
+
+  @Test
+  void should_tell_others_for_two_seconds_so_that_an_answer_clears_the_request_for_good() {
+    other.onDeath(REQUEST, 1, 0, SECOND);
+    other.onDeath(REQUEST, 2, 2 * SECOND - 1, 2 * SECOND);
+
+    assertThat(other.notes(2 * SECOND)).hasSize(2);
+    assertThat(other.notes(5 * SECOND)).isEmpty();
+  }
+
+  @Test
+  void should_forget_a_request_that_was_answered() {
+    kill(1, 1);
+    kill(2, 2);
+    history.onAnswered(REQUEST);
+
+    assertThat(maySend(2)).isTrue();
+    assertThat(history.notes(2 * SECOND)).isEmpty();
+  }
+}
--- a/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
@@ -188,8 +188,9 @@
 
   /** Takes in a heartbeat of another instance. */
   public void onHeartbeat(Heartbeat heartbeat) {
-    if (fleet.onHeartbeat(heartbeat, clock.monotonicNanos())) {
-      crashes.onNotes(heartbeat.crashes());
+    long nowNanos = clock.monotonicNanos();
+    if (fleet.onHeartbeat(heartbeat, nowNanos)) {
+      crashes.onNotes(heartbeat.crashes(), nowNanos);
     }
   }
 
@@ -231,7 +232,7 @@
         shares.demand(),
         shares.reportAdmitted(clock.monotonicNanos()),
         servers.ownInFlight(),
-        crashes.notes());
+        crashes.notes(clock.monotonicNanos()));
   }
 
   /** Notes that the instance is about to stop. */
--- a/gateway/src/main/java/org/bambooarch/gateway/request/RequestRun.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/RequestRun.java
@@ -113,7 +113,7 @@
     }
     streamed = body.whole().isEmpty();
     requestHash = fingerprint();
-    if (!state.crashes().maySend(requestHash)) {
+    if (!state.crashes().maySend(requestHash, state.clock().monotonicNanos())) {
       refuse(RequestOutcome.CRASHES_SERVERS, 503, 0);
       return;
     }
@@ -329,7 +329,7 @@
       switch (step) {
         case SEND_ELSEWHERE -> {
           relay = null;
-          if (state.crashes().maySend(requestHash)) {
+          if (state.crashes().maySend(requestHash, state.clock().monotonicNanos())) {
             sendToNext();
           } else {
             refuse(RequestOutcome.CRASHES_SERVERS, 502, 0);
