--- a/core/src/main/java/org/bambooarch/core/steering/place/Shortage.java
+++ b/core/src/main/java/org/bambooarch/core/steering/place/Shortage.java
@@ -20,7 +20,8 @@
 
   /** Returns the inputs as fields of a log line. */
   public String describe() {
-    return "region=%s open=%d usable=%d candidates=%d shortest-wait-millis=%d longest-wait-millis=%d"
+    return ("region=%s open=%d usable=%d candidates=%d shortest-wait-millis=%d"
+            + " longest-wait-millis=%d")
         .formatted(
             region, openServers, usableServers, candidates, shortestWaitMillis, longestWaitMillis);
   }
