--- a/cli/src/main/java/org/bambooarch/cli/explain/Causes.java
+++ b/cli/src/main/java/org/bambooarch/cli/explain/Causes.java
@@ -43,8 +43,8 @@
   }
 
   private static String noRoom(LogLine last) {
-    return ("%s of %s open servers were usable, %s of them for the object in region %s; the shortest"
-            + " wait was %s ms, allowed were %s ms")
+    return ("%s of %s open servers were usable, %s of them for the object in region %s;"
+            + " the shortest wait was %s ms, allowed were %s ms")
         .formatted(
             last.field("usable"),
             last.field("open"),
@@ -55,7 +55,8 @@
   }
 
   private static String overRate(LogLine last) {
-    return "customer %s: %s admitted in the window of a limit of %s, %s tokens left here of a share of %s/s"
+    return ("customer %s: %s admitted in the window of a limit of %s,"
+            + " %s tokens left here of a share of %s/s")
         .formatted(
             last.field("customer"),
             last.field("admitted-in-window"),
--- a/cli/src/main/java/org/bambooarch/cli/explain/Explainer.java
+++ b/cli/src/main/java/org/bambooarch/cli/explain/Explainer.java
@@ -61,27 +61,32 @@
 
   /** Returns the last lines before a request's end on what decided it, and on its servers. */
   private static List<LogLine> beliefsBefore(List<LogLine> file, List<LogLine> own) {
-    int end = own.getLast().position();
     Set<String> servers = new HashSet<>();
     own.forEach(line -> servers.add(line.field("server")));
-    servers.remove("");
-    servers.remove("-");
+    int endPosition = own.getLast().position();
     List<LogLine> beliefs = new ArrayList<>();
     Set<String> seen = new HashSet<>();
     for (LogLine line : file.reversed()) {
-      boolean aboutServer =
-          line.event().startsWith("server-") && servers.contains(line.field("server"));
-      boolean belief = BELIEFS.contains(line.event());
-      String kind =
-          line.event() + line.field("list") + line.field("data-centre") + line.field("server");
-      boolean before = line.position() < end;
-      if (before && (aboutServer || belief) && beliefs.size() < MOST_BELIEFS && seen.add(kind)) {
+      if (beliefs.size() == MOST_BELIEFS) {
+        break;
+      }
+      if (line.position() < endPosition && isBelief(line, servers) && seen.add(subjectOf(line))) {
         beliefs.add(line);
       }
     }
     return beliefs;
   }
 
+  private static boolean isBelief(LogLine line, Set<String> servers) {
+    boolean aboutServer =
+        line.event().startsWith("server-") && servers.contains(line.field("server"));
+    return aboutServer || BELIEFS.contains(line.event());
+  }
+
+  private static String subjectOf(LogLine line) {
+    return line.event() + line.field("list") + line.field("data-centre") + line.field("server");
+  }
+
   private Story ofServer(String id) {
     List<LogLine> lines = all(line -> line.field("server").equals(id));
     long lost = lines.stream().filter(line -> line.event().equals("attempt-failed")).count();
