--- /dev/null
+++ b/bench/src/main/java/org/bambooarch/bench/jmh/DecisionLogBenchmark.java
@@ -0,0 +1,88 @@
+package org.bambooarch.bench.jmh;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.bambooarch.core.time.ManualClock;
+import org.bambooarch.gateway.operators.DecisionLog;
+import org.bambooarch.gateway.operators.LineQueue;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+
+/** What a line about a refused request costs the thread that serves requests. */
+@State(Scope.Thread)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.NANOSECONDS)
+@Warmup(iterations = 2, time = 1)
+@Measurement(iterations = 3, time = 1)
+@Fork(1)
+public class DecisionLogBenchmark {
+
+  private static final long SECOND_MILLIS = 1_000;
+
+  private final ManualClock clock = ManualClock.startingAtZero();
+  private DecisionLog read;
+  private DecisionLog unread;
+
+  /** An output that is never read. */
+  private static final class BlockedOutput extends OutputStream {
+
+    private final CountDownLatch never = new CountDownLatch(1);
+
+    @Override
+    public void write(int octet) throws IOException {
+      try {
+        never.await();
+      } catch (InterruptedException e) {
+        throw new IOException("interrupted", e);
+      }
+    }
+  }
+
+  /** Creates a log that is read and one that is not. */
+  @Setup
+  public void createLogs() {
+    LineQueue readLines = new LineQueue(new PrintStream(OutputStream.nullOutputStream()));
+    LineQueue unreadLines = new LineQueue(new PrintStream(new BlockedOutput()));
+    read = new DecisionLog(readLines, "entry-1", clock);
+    unread = new DecisionLog(unreadLines, "entry-1", clock);
+  }
+
+  /** Every refusal is written. */
+  @Benchmark
+  public void writeEach() {
+    clock.advanceMillis(SECOND_MILLIS);
+    refuse(read);
+  }
+
+  /** All refusals come in one second, so that nearly none is written. */
+  @Benchmark
+  public void suppressNearlyAll() {
+    refuse(read);
+  }
+
+  /** Every refusal is to be written and nobody reads. */
+  @Benchmark
+  public void writeEachToBlockedOutput() {
+    clock.advanceMillis(SECOND_MILLIS);
+    refuse(unread);
+  }
+
+  private static void refuse(DecisionLog log) {
+    if (log.hasRoom("no-room")) {
+      log.write(
+          "event=request-finished request=%s route=%s outcome=no-room status=503 took-millis=%d"
+              .formatted("36a430ed04f5a266", "r-kenrn65", 3));
+    }
+  }
+}
