Add a known red test of customers refused while instances stop in turn

An instance that stops counts as cut off for ten seconds after its last heartbeat, so no share grows and nothing more is told to all.

--- a/core/src/test/java/org/bambooarch/core/steering/fleet/CustomerSharesTest.java
+++ b/core/src/test/java/org/bambooarch/core/steering/fleet/CustomerSharesTest.java
@@ -11,6 +11,7 @@
 import org.bambooarch.core.steering.config.CallerLimits;
 import org.bambooarch.core.steering.config.CustomerPolicy;
 import org.bambooarch.core.steering.config.SteeringConfig;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -33,6 +34,9 @@
     private int asked;
     private long nowMillis;
 
+    /** The instance that sends callers elsewhere because it is about to stop, or -1. */
+    private int leaving = -1;
+
     private Fleet(double rate, double burst) {
       customer = new CustomerPolicy("kerala", Set.of(), 0, rate, burst, Set.of());
       config =
@@ -46,13 +50,27 @@
       tables.clear();
       shares.clear();
       for (int i = 0; i < INSTANCES; i++) {
-        tables.add(new FleetTable(new InstanceIdentity("entry-" + i, 1, "r", "dc", "a:1", "a:2")));
+        tables.add(new FleetTable(identity(i, 1)));
         shares.add(new CustomerShares(tables.get(i), TOLERANCE));
       }
-      for (FleetTable table : tables) {
-        tables.forEach(other -> table.onListed(other.self(), nowNanos()));
-        table.onListRead();
-      }
+      tables.forEach(this::list);
+    }
+
+    /** Starts one instance anew, after it has ended. */
+    private void restart(int instance) {
+      long incarnation = tables.get(instance).self().incarnation() + 1;
+      tables.set(instance, new FleetTable(identity(instance, incarnation)));
+      shares.set(instance, new CustomerShares(tables.get(instance), TOLERANCE));
+      list(tables.get(instance));
+    }
+
+    private void list(FleetTable table) {
+      tables.forEach(other -> table.onListed(other.self(), nowNanos()));
+      table.onListRead();
+    }
+
+    private static InstanceIdentity identity(int instance, long incarnation) {
+      return new InstanceIdentity("entry-" + instance, incarnation, "r", "dc", "a:1", "a:2");
     }
 
     private interface Reaches {
@@ -74,7 +92,7 @@
         Heartbeat heartbeat =
             new Heartbeat(
                 tables.get(from).self(),
-                true,
+                from != leaving,
                 1,
                 shares.get(from).demand(),
                 shares.get(from).reportAdmitted(nowNanos()),
@@ -245,6 +263,54 @@
     }
   }
 
+  @Tag("known-red")
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5})
+  void should_refuse_next_to_nothing_within_the_rate_while_instances_stop_in_turn(long seed) {
+    for (double rate : new double[] {10, 25, 100}) {
+      Random random = new Random(seed);
+      Fleet fleet = new Fleet(rate, rate);
+      for (int step = 0; step < 50 * INSTANCES; step++) {
+        int stopping = step / 50;
+        boolean gone = step % 50 >= 28;
+        if (step % 50 == 0 && stopping > 0) {
+          fleet.restart(stopping - 1);
+        }
+        fleet.leaving = stopping;
+        fleet.tick((from, to) -> !gone || (from != stopping && to != stopping));
+        int requests = poisson(random, rate / 1.6 * TICK_MILLIS / 1_000);
+        for (int n = 0; n < requests; n++) {
+          int instance = random.nextInt(INSTANCES - 1);
+          fleet.ask(instance < stopping ? instance : instance + 1);
+        }
+      }
+      assertThat(fleet.refused)
+          .as("rate %s, refused of %s", rate, fleet.asked)
+          .isLessThanOrEqualTo(fleet.asked / 100);
+    }
+  }
+
+  @Test
+  void should_serve_less_urgent_requests_of_one_instance_while_the_customer_asks_little_in_all() {
+    Fleet fleet = new Fleet(50, 50);
+    for (int step = 0; step < 100; step++) {
+      fleet.tick((from, to) -> true);
+      for (int i = 0; i < INSTANCES; i++) {
+        if (step % 5 == 0) {
+          fleet.ask(i);
+        }
+      }
+    }
+    int refused = 0;
+    int asked = 0;
+    for (int step = 0; step < 20; step++) {
+      fleet.tick((from, to) -> true);
+      asked++;
+      refused += fleet.shares.get(0).tryTake(fleet.customer, 2, fleet.nowNanos()) ? 0 : 1;
+    }
+    assertThat(refused).as("refused of %s", asked).isLessThanOrEqualTo(asked / 100);
+  }
+
   @ParameterizedTest
   @ValueSource(longs = {1, 2, 3, 4, 5})
   void should_keep_the_rate_when_all_instances_are_killed_while_a_customer_asks_too_much(
