--- a/core/src/main/java/org/bambooarch/core/steering/place/ServerTable.java
+++ b/core/src/main/java/org/bambooarch/core/steering/place/ServerTable.java
@@ -30,10 +30,10 @@
   public static final long LAPSE_GRACE_NANOS = 1_500_000_000L;
 
   /**
-   * Time after that for which what is known of such a server is kept, in nanoseconds: 1 s, since
-   * entries may return two seconds after the store.
+   * Time after that for which what is known of such a server is kept, in nanoseconds: 0.5 s, since
+   * entries return up to two seconds after the store.
    */
-  static final long KEEP_NANOS = 1_000_000_000L;
+  static final long KEEP_NANOS = 500_000_000L;
 
   private final Map<String, String> regionByDataCentre;
   private final Map<String, ServerCell> cells = new HashMap<>();
