Split what had grown too long: a request's attempts and log, a customer's bucket

Cause: reading the change as the next engineer will. Rehearsal kept a result in a field; a map was named after half of its use.

Change: ServerAttempt, RequestLog (in place of RequestLines), CustomerBucket and the tests' SharesFleet are classes of their own. No behaviour, text or bound changes.

--- a/cli/src/main/java/org/bambooarch/cli/explain/Explainer.java
+++ b/cli/src/main/java/org/bambooarch/cli/explain/Explainer.java
@@ -1,9 +1,11 @@
 package org.bambooarch.cli.explain;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /** Finds the lines that answer a question, and says what they mean. */
 final class Explainer {
@@ -45,7 +47,7 @@
       if (!own.isEmpty()) {
         List<LogLine> shown = new ArrayList<>(beliefsBefore(file, own));
         shown.addAll(own);
-        shown.sort(java.util.Comparator.comparingInt(LogLine::position));
+        shown.sort(Comparator.comparingInt(LogLine::position));
         return new Story(shown, "cause: " + Causes.of(own.getLast()));
       }
     }
@@ -53,10 +55,7 @@
   }
 
   private List<LogLine> suppressed() {
-    return Story.merge(
-        files.stream()
-            .map(file -> file.stream().filter(l -> l.event().startsWith("lines-")).toList())
-            .toList());
+    return all(line -> line.event().startsWith("lines-"));
   }
 
   /** Returns the last lines before a request's end on what decided it, and on its servers. */
@@ -103,7 +102,7 @@
             .formatted(lines.size(), files.size(), version));
   }
 
-  private List<LogLine> all(java.util.function.Predicate<LogLine> wanted) {
+  private List<LogLine> all(Predicate<LogLine> wanted) {
     return Story.merge(files.stream().map(file -> file.stream().filter(wanted).toList()).toList());
   }
 }
--- a/core/src/main/java/org/bambooarch/core/steering/place/ServerTable.java
+++ b/core/src/main/java/org/bambooarch/core/steering/place/ServerTable.java
@@ -38,7 +38,7 @@
   private final Map<String, String> regionByDataCentre;
   private final Map<String, ServerCell> cells = new HashMap<>();
   private final Map<String, List<ServerCell>> byService = new HashMap<>();
-  private final Map<String, Long> missingUntilNanos = new HashMap<>();
+  private final Map<String, Long> graceEndNanosOfMissing = new HashMap<>();
   private final Set<String> lapsed = new HashSet<>();
   private final Set<String> evacuated = new HashSet<>();
   private long lapseGraceUntilNanos;
@@ -78,7 +78,7 @@
 
   /** Takes in the newest entry of one server. */
   public void put(ServerEntry entry, long coldStartMillis, long nowNanos) {
-    missingUntilNanos.remove(entry.id());
+    graceEndNanosOfMissing.remove(entry.id());
     lapsed.remove(entry.id());
     String region = regionByDataCentre.getOrDefault(entry.dataCentre(), "");
     ServerCell known = cells.get(entry.id());
@@ -116,14 +116,14 @@
     }
     boolean mayReturn = graceSet && nowNanos - lapseGraceUntilNanos < 0;
     if (mayReturn && !cell.entry().draining()) {
-      missingUntilNanos.putIfAbsent(id, lapseGraceUntilNanos);
+      graceEndNanosOfMissing.putIfAbsent(id, lapseGraceUntilNanos);
       return;
     }
     drop(id);
   }
 
   private void drop(String id) {
-    missingUntilNanos.remove(id);
+    graceEndNanosOfMissing.remove(id);
     lapsed.remove(id);
     ServerCell cell = cells.remove(id);
     if (cell != null) {
@@ -134,7 +134,7 @@
   /** Closes, and later drops, servers whose entries have not come back. */
   public void tick(long nowNanos) {
     Iterator<Map.Entry<String, Long>> missing =
-        List.copyOf(missingUntilNanos.entrySet()).iterator();
+        List.copyOf(graceEndNanosOfMissing.entrySet()).iterator();
     while (missing.hasNext()) {
       Map.Entry<String, Long> entry = missing.next();
       long overdueNanos = nowNanos - entry.getValue();
--- /dev/null
+++ b/core/src/test/java/org/bambooarch/core/steering/fleet/SharesFleet.java
@@ -0,0 +1,146 @@
+package org.bambooarch.core.steering.fleet;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import org.bambooarch.core.steering.config.CallerLimits;
+import org.bambooarch.core.steering.config.CustomerPolicy;
+import org.bambooarch.core.steering.config.SteeringConfig;
+
+/** Ten instances that share the rate of one customer, and the heartbeats between them. */
+final class SharesFleet {
+
+  static final int INSTANCES = 10;
+  static final long TICK_MILLIS = 100;
+
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+  private static final QuotaTolerance TOLERANCE = new QuotaTolerance(5, 0.1, 20);
+
+  final CustomerPolicy customer;
+  final SteeringConfig config;
+  private final List<FleetTable> tables = new ArrayList<>();
+  final List<CustomerShares> shares = new ArrayList<>();
+  private final Deque<Long> admittedMillis = new ArrayDeque<>();
+  int mostInWindow;
+  int refused;
+  int asked;
+  long nowMillis;
+
+  /** The instance that sends callers elsewhere because it is about to stop, or -1. */
+  int leaving = -1;
+
+  SharesFleet(double rate, double burst) {
+    customer = new CustomerPolicy("kerala", Set.of(), 0, rate, burst, Set.of());
+    config =
+        new SteeringConfig(
+            1, List.of(), List.of(), List.of(customer), new CallerLimits(1, 1, 1, 1));
+    restart();
+  }
+
+  /** Kills all instances and starts them anew, with nothing remembered. */
+  void restart() {
+    tables.clear();
+    shares.clear();
+    for (int i = 0; i < INSTANCES; i++) {
+      tables.add(new FleetTable(identity(i, 1)));
+      shares.add(new CustomerShares(tables.get(i), TOLERANCE));
+    }
+    tables.forEach(this::list);
+  }
+
+  /** Starts one instance anew, after it has ended. */
+  void restart(int instance) {
+    long incarnation = tables.get(instance).self().incarnation() + 1;
+    tables.set(instance, new FleetTable(identity(instance, incarnation)));
+    shares.set(instance, new CustomerShares(tables.get(instance), TOLERANCE));
+    list(tables.get(instance));
+  }
+
+  private void list(FleetTable table) {
+    tables.forEach(other -> table.onListed(other.self(), nowNanos()));
+    table.onListRead();
+  }
+
+  private static InstanceIdentity identity(int instance, long incarnation) {
+    return new InstanceIdentity("entry-" + instance, incarnation, "r", "dc", "a:1", "a:2");
+  }
+
+  interface Reaches {
+    boolean test(int from, int to);
+  }
+
+  void tick(Reaches reaches) {
+    nowMillis += TICK_MILLIS;
+    if (nowMillis % 500 == 0) {
+      exchangeHeartbeats(reaches);
+    }
+    for (CustomerShares share : shares) {
+      share.tick(config, nowNanos(), TICK_MILLIS * NANOS_PER_MILLI);
+    }
+  }
+
+  private void exchangeHeartbeats(Reaches reaches) {
+    for (int from = 0; from < INSTANCES; from++) {
+      Heartbeat heartbeat =
+          new Heartbeat(
+              tables.get(from).self(),
+              from != leaving,
+              1,
+              shares.get(from).demand(),
+              shares.get(from).reportAdmitted(nowNanos()),
+              Map.of(),
+              List.of());
+      for (int to = 0; to < INSTANCES; to++) {
+        if (from != to && reaches.test(from, to)) {
+          tables.get(to).onHeartbeat(heartbeat, nowNanos());
+        }
+      }
+    }
+  }
+
+  /** Asks as often as chance has it in a tick, each time at any of the instances. */
+  void askAnywhere(Random random, double perSecond) {
+    int requests = poisson(random, perSecond * TICK_MILLIS / 1_000);
+    for (int n = 0; n < requests; n++) {
+      ask(random.nextInt(INSTANCES));
+    }
+  }
+
+  /** Returns how often something happens that happens so often on average. */
+  static int poisson(Random random, double mean) {
+    double limit = Math.exp(-mean);
+    double product = random.nextDouble();
+    int count = 0;
+    while (product > limit) {
+      product *= random.nextDouble();
+      count++;
+    }
+    return count;
+  }
+
+  void ask(int instance) {
+    asked++;
+    if (!shares.get(instance).tryTake(customer, 0, nowNanos())) {
+      refused++;
+      return;
+    }
+    admittedMillis.addLast(nowMillis);
+    while (admittedMillis.getFirst() <= nowMillis - 5_000) {
+      admittedMillis.removeFirst();
+    }
+    mostInWindow = Math.max(mostInWindow, admittedMillis.size());
+  }
+
+  long nowNanos() {
+    return nowMillis * NANOS_PER_MILLI;
+  }
+
+  double allowedInWindow() {
+    double limit = customer.requestsPerSecond() * 5 + customer.burstRequests();
+    return limit * 1.1 + 20;
+  }
+}
--- a/gateway/src/main/java/org/bambooarch/gateway/rehearsal/Rehearsal.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/rehearsal/Rehearsal.java
@@ -45,12 +45,12 @@
 
   private static final int REQUESTS_PER_ROUND = 8;
   private static final int PORTS = 5;
+  private static final long NANOS_PER_MILLI = 1_000_000L;
 
   private final RequestFormat requests;
   private final DirectoryFormat directory;
   private final EventLoopGroup loops;
   private final Clock clock;
-  private CompletableFuture<Void> ended = CompletableFuture.completedFuture(null);
 
   /** Creates a rehearsal with the formats and the event loop that the process will use. */
   public Rehearsal(
@@ -68,20 +68,20 @@
    *     wait for it
    */
   public CompletableFuture<Void> run() {
-    long startedNanos = clock.monotonicNanos();
     try {
-      int answered = play();
-      Logger.info(
-          "event=rehearsed answered={} took-millis={}",
-          answered,
-          (clock.monotonicNanos() - startedNanos) / 1_000_000L);
-    } catch (IOException | CompletionException e) {
-      Logger.warn("event=rehearsal-failed reason=\"{}\"", e.toString());
+      return play();
+    } catch (IOException e) {
+      logFailure(e);
+      return CompletableFuture.completedFuture(null);
     }
-    return ended;
   }
 
-  private int play() throws IOException {
+  private static void logFailure(Exception cause) {
+    Logger.warn("event=rehearsal-failed reason=\"{}\"", cause.toString());
+  }
+
+  private CompletableFuture<Void> play() throws IOException {
+    long startedNanos = clock.monotonicNanos();
     int[] ports = freePorts();
     Server server =
         Server.builder()
@@ -100,13 +100,22 @@
             clock,
             RandomGenerator.of("L64X128MixRandom"));
     ClientFactory clients = ClientFactory.builder().workerGroup(loops, false).build();
+    CompletableFuture<Void> ended;
     try {
       gateway.start();
-      return send(WebClient.builder("h1c://127.0.0.1:" + ports[0]).factory(clients).build());
+      int answered =
+          send(WebClient.builder("h1c://127.0.0.1:" + ports[0]).factory(clients).build());
+      Logger.info(
+          "event=rehearsed answered={} took-millis={}",
+          answered,
+          (clock.monotonicNanos() - startedNanos) / NANOS_PER_MILLI);
+    } catch (CompletionException e) {
+      logFailure(e);
     } finally {
       ended =
           CompletableFuture.allOf(gateway.closeAsync(), clients.closeAsync(), server.closeAsync());
     }
+    return ended;
   }
 
   private static int send(WebClient client) {
--- a/gateway/src/main/java/org/bambooarch/gateway/request/RequestRun.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/RequestRun.java
@@ -6,7 +6,7 @@
 import com.linecorp.armeria.common.ResponseHeaders;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpResponse;
+import java.util.Arrays;
 import java.util.Optional;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
@@ -16,19 +16,15 @@
 import org.bambooarch.core.steering.config.HomeRegions;
 import org.bambooarch.core.steering.config.ServicePolicy;
 import org.bambooarch.core.steering.config.ServiceRoute;
-import org.bambooarch.core.steering.config.SteeringConfig;
 import org.bambooarch.core.steering.hash.Hashes;
 import org.bambooarch.core.steering.place.Placement;
 import org.bambooarch.core.steering.place.PlacementQuery;
 import org.bambooarch.core.steering.place.ServerCell;
 import org.bambooarch.core.steering.place.Shortage;
 import org.bambooarch.gateway.control.ControlState;
-import org.bambooarch.gateway.operators.GatewayMetrics;
 import org.bambooarch.gateway.operators.RequestOutcome;
-import org.bambooarch.gateway.port.AnswerHeaders;
 import org.bambooarch.gateway.port.CallerHeaders;
 import org.bambooarch.gateway.port.ServerCallHeaders;
-import org.bambooarch.gateway.target.TargetCall;
 import org.bambooarch.gateway.target.TargetHandle;
 import org.bambooarch.gateway.target.TargetRequest;
 
@@ -59,23 +55,17 @@
   private final RequestPlan plan;
   private final HomeRegions homes;
   private final CallerBody body;
+  private final RequestLog log;
   private final long arrivedNanos;
   private final long deadlineNanos;
   private final ScheduledFuture<?> timeout;
   private long requestHash;
-  private PlacementQuery query;
   private TargetHandle handle;
   private ServerCell server;
-  private AnswerRelay relay;
+  private ServerAttempt attempt;
   private boolean streamed;
   private boolean finished;
 
-  /** How the last attempt ended, if one failed. */
-  private String lastLoss = "";
-
-  /** What the last choice of a server was made from, if none had room. */
-  private String inputs = "";
-
   RequestRun(
       RequestContext context,
       RequestHeaders headers,
@@ -95,6 +85,7 @@
     this.plan = new RequestPlan(route, service, state.retries());
     this.homes = HomeRegions.of(route, customer);
     this.body = new CallerBody(this, maxBodyBytes);
+    this.log = new RequestLog(context, caller, route, service, customer);
     this.arrivedNanos = state.clock().monotonicNanos();
     long waitMillis =
         Math.min(route.timeoutMillis(), caller.waitMillis().orElse(route.timeoutMillis()));
@@ -124,7 +115,7 @@
     long hash = Hashes.of(headers.method().name() + " " + headers.path());
     hash = Hashes.combine(hash, Hashes.of(customer.map(CustomerPolicy::name).orElse("")));
     hash = Hashes.combine(hash, Hashes.of(caller.object().orElse("")));
-    return Hashes.combine(hash, body.whole().map(java.util.Arrays::hashCode).orElse(0));
+    return Hashes.combine(hash, body.whole().map(Arrays::hashCode).orElse(0));
   }
 
   @Override
@@ -143,12 +134,12 @@
       refuse(RequestOutcome.NO_ROOM, 503, DEFAULT_RETRY_AFTER_MILLIS);
       return;
     }
-    query = newQuery();
+    PlacementQuery query = newQuery();
     Placement placement = state.chooser().choose(query, policy(), state.clock().monotonicNanos());
     switch (placement) {
-      case Placement.Chosen(ServerCell chosen, int load) -> send(chosen, load);
+      case Placement.Chosen(ServerCell chosen, int load) -> send(query, chosen, load);
       case Placement.NoRoom(long retryAfterMillis, Shortage shortage) -> {
-        inputs = shortage.describe();
+        log.onNoRoom(shortage);
         if (plan.mayHaveRun()) {
           refuse(RequestOutcome.LOST, 502, 0);
         } else {
@@ -181,7 +172,7 @@
         .orElseGet(() -> new ServicePolicy(service, "/", 0, 0, 1));
   }
 
-  private void send(ServerCell chosen, int loadBefore) {
+  private void send(PlacementQuery query, ServerCell chosen, int loadBefore) {
     server = chosen;
     plan.onChosen(chosen.entry().id());
     chosen.onSent();
@@ -201,148 +192,75 @@
             route.idempotent(),
             body.whole(),
             headers.contentLength());
-    handle = context.connections().send(chosen, request, new Attempt(chosen, loadBefore));
+    attempt = new ServerAttempt(this, context, writer, query, chosen, loadBefore);
+    handle = context.connections().send(chosen, request, attempt);
   }
 
-  /** One attempt at one server. */
-  private final class Attempt implements TargetCall {
-
-    private final ServerCell cell;
-    private final int loadBefore;
-    private long sentNanos;
-    private AnswerHeaders answer;
-    private HttpResponse head;
-
-    private Attempt(ServerCell cell, int loadBefore) {
-      this.cell = cell;
-      this.loadBefore = loadBefore;
-      this.sentNanos = state.clock().monotonicNanos();
-    }
-
-    @Override
-    public void onUnreachable(boolean refused) {
-      if (finished) {
-        return;
-      }
-      cell.onReturned();
-      cell.onUnreachable(refused, state.clock().monotonicNanos());
-      follow(Ending.NOT_SENT, "unreachable");
-    }
+  /** Returns whether the caller has its final answer; nothing more may be done then. */
+  boolean isFinished() {
+    return finished;
+  }
 
-    @Override
-    public void onSending() {
-      sentNanos = state.clock().monotonicNanos();
-      plan.onSending();
-      if (streamed) {
-        // The connection takes parts of the body only after the head was written.
-        context.loop().execute(this::startStreaming);
-      }
-    }
+  /** Returns the call to the server that has the request. */
+  TargetHandle handle() {
+    return handle;
+  }
 
-    private void startStreaming() {
-      if (!finished) {
-        body.streamTo(new ServerSink(handle));
-      }
+  /** Notes that the request is about to be written to a server. */
+  void onSending() {
+    plan.onSending();
+    if (streamed) {
+      // The connection takes parts of the body only after the head was written.
+      context.loop().execute(this::startStreaming);
     }
+  }
 
-    @Override
-    public void onHead(HttpResponse newHead, AnswerHeaders newAnswer) {
-      head = newHead;
-      answer = newAnswer;
-      relay = new AnswerRelay(writer, context.format().toCaller(head), handle, state.isLeaving());
+  private void startStreaming() {
+    if (!finished) {
+      body.streamTo(new ServerSink(handle));
     }
+  }
 
-    @Override
-    public void onBody(ByteBuf part) {
-      if (finished || relay == null) {
-        part.release();
-        return;
-      }
-      relay.onBody(part);
-    }
+  /** Passes the whole answer of the server on. */
+  void onAnswered() {
+    plan.onAnswered();
+    state.crashes().onAnswered(requestHash);
+    finish(RequestOutcome.ANSWERED, attempt.passOn(), "");
+  }
 
-    @Override
-    public void onWhole() {
-      if (finished) {
-        return;
-      }
-      long nowNanos = state.clock().monotonicNanos();
-      cell.onReturned();
-      answer.load().ifPresent(load -> cell.onLoad(load.running(), load.waiting(), nowNanos));
-      int status = head.status().code();
-      if (answer.notRun() || answer.misdirected()) {
-        onNotRun(nowNanos);
-        return;
-      }
-      boolean failure = status >= 500;
-      cell.onAnswered(nowNanos - sentNanos, failure);
-      if (!failure) {
-        state.chooser().onServed(query, cell, loadBefore, nowNanos - sentNanos, nowNanos);
-      }
-      if (status < 300 && !answer.genuine()) {
-        follow(Ending.LOST, "answer-not-genuine");
-        return;
-      }
-      if (failure) {
-        follow(Ending.FAILED, "server-failure");
-        return;
-      }
-      plan.onAnswered();
-      state.crashes().onAnswered(requestHash);
-      relay.onWhole();
-      finish(RequestOutcome.ANSWERED, status, "");
-    }
+  /** Notes that an answer ended midway, of which the caller has a part. */
+  void onBrokenOff() {
+    plan.onAnswered();
+    finish(RequestOutcome.LOST, 0, "broke-off");
+  }
 
-    private void onNotRun(long nowNanos) {
-      if (answer.misdirected()) {
-        cell.onReplaced(nowNanos);
-      } else {
-        cell.onShed(nowNanos);
-      }
-      follow(Ending.NOT_RUN, answer.misdirected() ? "replaced" : "shed");
-    }
+  /** Notes that the connection to the server was lost before its answer. */
+  void onConnectionLost(String reason, long nowNanos) {
+    state.crashes().onDeath(requestHash, attempt.cell().hash(), attempt.sentNanos(), nowNanos);
+    onAttemptFailed(Ending.LOST, reason);
+  }
 
-    @Override
-    public void onLost(String reason) {
-      if (finished) {
-        return;
-      }
-      long nowNanos = state.clock().monotonicNanos();
-      cell.onReturned();
-      cell.onLost(nowNanos);
-      if (relay != null && relay.hasBegun()) {
-        relay.breakOff();
-        plan.onAnswered();
-        finish(RequestOutcome.LOST, 0, "broke-off");
-        return;
-      }
-      state.crashes().onDeath(requestHash, cell.hash(), sentNanos, nowNanos);
-      follow(Ending.LOST, reason);
+  /** Does what follows an attempt without an answer to pass on. */
+  void onAttemptFailed(Ending ending, String cause) {
+    double serviceNanos = state.chooser().warmNanos(service);
+    boolean time = remainingNanos() > serviceNanos * LEAST_TIME_PART;
+    RequestPlan.Step step = plan.onEnding(ending, time, !streamed);
+    log.onAttemptFailed(attempt.cell(), ending, cause, step);
+    switch (step) {
+      case SEND_ELSEWHERE -> sendElsewhere();
+      case REFUSE_NOT_RUN -> refuse(RequestOutcome.REJECTED, 503, DEFAULT_RETRY_AFTER_MILLIS);
+      case PASS_FAILURE_ON -> finish(RequestOutcome.SERVER_FAILURE, attempt.passOn(), cause);
+      // OUTCOME_UNKNOWN
+      default -> refuse(RequestOutcome.LOST, 502, 0);
     }
+  }
 
-    private void follow(Ending ending, String cause) {
-      double serviceNanos = state.chooser().warmNanos(service);
-      boolean time = remainingNanos() > serviceNanos * LEAST_TIME_PART;
-      RequestPlan.Step step = plan.onEnding(ending, time, !streamed);
-      lastLoss = cause;
-      logAttempt(cell, ending, step, cause);
-      switch (step) {
-        case SEND_ELSEWHERE -> {
-          relay = null;
-          if (state.crashes().maySend(requestHash, state.clock().monotonicNanos())) {
-            sendToNext();
-          } else {
-            refuse(RequestOutcome.CRASHES_SERVERS, 502, 0);
-          }
-        }
-        case REFUSE_NOT_RUN -> refuse(RequestOutcome.REJECTED, 503, DEFAULT_RETRY_AFTER_MILLIS);
-        case PASS_FAILURE_ON -> {
-          relay.onWhole();
-          finish(RequestOutcome.SERVER_FAILURE, head.status().code(), cause);
-        }
-        // OUTCOME_UNKNOWN
-        default -> refuse(RequestOutcome.LOST, 502, 0);
-      }
+  private void sendElsewhere() {
+    attempt = null;
+    if (state.crashes().maySend(requestHash, state.clock().monotonicNanos())) {
+      sendToNext();
+    } else {
+      refuse(RequestOutcome.CRASHES_SERVERS, 502, 0);
     }
   }
 
@@ -364,8 +282,7 @@
       return;
     }
     abandonServer();
-    if (relay != null && relay.hasBegun()) {
-      relay.breakOff();
+    if (attempt != null && attempt.breakOff()) {
       finish(RequestOutcome.TIMED_OUT, 0, "broke-off");
       return;
     }
@@ -403,50 +320,15 @@
     }
     writer.write(refusal);
     writer.close();
-    finish(outcome, status, lastLoss);
+    finish(outcome, status, log.lastFailure());
   }
 
   private void finish(RequestOutcome outcome, int status, String cause) {
     finished = true;
     timeout.cancel(false);
-    long nowNanos = state.clock().monotonicNanos();
-    context.metrics().onFinished(outcome, nowNanos - arrivedNanos);
-    boolean logged =
-        outcome == RequestOutcome.ANSWERED
-            ? context.log().samplesAnswer()
-            : context.log().hasRoom(GatewayMetrics.labelOf(outcome));
-    if (logged) {
-      context.log().write(line(outcome, status, cause, nowNanos));
-    }
-  }
-
-  private String line(RequestOutcome outcome, int status, String cause, long nowNanos) {
-    return new RequestLines.Finished(
-            caller.requestId(),
-            route.name(),
-            service,
-            customer.map(CustomerPolicy::name).orElse("-"),
-            caller.object().orElse("-"),
-            outcome,
-            status,
-            cause,
-            server == null ? "-" : server.entry().id(),
-            server == null ? 0 : server.load(nowNanos),
-            plan.sends(),
-            (nowNanos - arrivedNanos) / NANOS_PER_MILLI,
-            state.config().map(SteeringConfig::version).orElse(0L),
-            inputs)
-        .line();
-  }
-
-  private void logAttempt(ServerCell cell, Ending ending, RequestPlan.Step step, String cause) {
-    if (context.log().hasRoom("attempt-failed")) {
-      context
-          .log()
-          .write(
-              RequestLines.attemptFailed(
-                  caller.requestId(), cell.entry().id(), ending, cause, step));
-    }
+    context.metrics().onFinished(outcome, elapsedNanos());
+    log.onFinished(
+        outcome, status, cause, Optional.ofNullable(server), plan.sends(), elapsedNanos());
   }
 
   private long elapsedNanos() {
