Say in a no-room line which servers were cold and whether an answer could still come

The rule for an object's servers also stood twice in ServerChooser.

Change: the chooser works out its candidates once, and both the choice and the line are made from them; the line tells cold servers, the first expected answer and the time left.

Two tests for the two lines that misled.

Conclusion: the sentence of `explain` now names what refused a request.

--- a/cli/src/main/java/org/bambooarch/cli/explain/Causes.java
+++ b/cli/src/main/java/org/bambooarch/cli/explain/Causes.java
@@ -43,15 +43,19 @@
   }
 
   private static String noRoom(LogLine last) {
-    return ("%s of %s open servers were usable, %s of them for the object in region %s;"
-            + " the shortest wait was %s ms, allowed were %s ms")
+    return ("%s of %s open servers were usable; in region %s %s were cold, %s warm for the object,"
+            + " where the shortest wait was %s ms of %s allowed and an answer was expected in %s ms"
+            + " of %s left")
         .formatted(
             last.field("usable"),
             last.field("open"),
-            last.field("candidates"),
             last.field("region"),
+            last.field("cold"),
+            last.field("candidates"),
             last.field("shortest-wait-millis"),
-            last.field("longest-wait-millis"));
+            last.field("longest-wait-millis"),
+            last.field("answer-millis"),
+            last.field("remaining-millis"));
   }
 
   private static String overRate(LogLine last) {
--- a/core/src/main/java/org/bambooarch/core/steering/place/ServerChooser.java
+++ b/core/src/main/java/org/bambooarch/core/steering/place/ServerChooser.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.ToDoubleFunction;
 import org.bambooarch.core.steering.config.ServicePolicy;
 import org.bambooarch.core.steering.hash.Hashes;
 
@@ -80,49 +81,79 @@
       }
     }
     String wanted = wantedRegion(query, usable);
-    List<ServerCell> asked = inRegion(usable, wanted);
-    Optional<Placement> placement = chooseAmong(query, policy, asked, nowNanos);
-    if (placement.isPresent()) {
-      return placement.get();
+    List<ServerCell> warm = new ArrayList<>();
+    for (ServerCell cell : rank(query, inRegion(usable, wanted))) {
+      if (!cell.isCold(nowNanos)) {
+        warm.add(cell);
+      } else if (mayTakeCold(cell, policy, nowNanos)) {
+        return new Placement.Chosen(cell, cell.load(nowNanos));
+      }
+    }
+    List<Candidate> candidates = candidates(query, warm, nowNanos);
+    Optional<Candidate> best = earliest(query, candidates);
+    if (best.isPresent()) {
+      ServerCell cell = best.get().cell();
+      return new Placement.Chosen(cell, cell.load(nowNanos));
     }
     return new Placement.NoRoom(
         retryAfterMillis(query, usable, nowNanos),
-        shortage(query, wanted, open.size(), usable.size(), asked, nowNanos));
+        shortage(query, wanted, open.size(), usable, candidates, nowNanos));
+  }
+
+  /** A warm server that an object uses, with the times that a request would take there. */
+  private record Candidate(ServerCell cell, double waitNanos, double answeredNanos) {}
+
+  private List<Candidate> candidates(PlacementQuery query, List<ServerCell> ranked, long nowNanos) {
+    List<Candidate> candidates = new ArrayList<>();
+    for (int i = 0; i < ranked.size(); i++) {
+      ServerCell cell = ranked.get(i);
+      if (i < SERVERS_PER_OBJECT || times.isKnownWarm(query.objectHash(), cell, nowNanos)) {
+        double waitNanos = waitNanos(cell, query.service(), nowNanos);
+        double answeredNanos = waitNanos + workNanos(query, cell, i, nowNanos);
+        candidates.add(new Candidate(cell, waitNanos, answeredNanos));
+      }
+    }
+    return candidates;
+  }
+
+  /** Returns the server whose answer is expected first, if its queue is short enough. */
+  private Optional<Candidate> earliest(PlacementQuery query, List<Candidate> candidates) {
+    double longestWaitNanos = longestWaitNanos(query);
+    return candidates.stream()
+        .filter(candidate -> candidate.waitNanos() <= longestWaitNanos)
+        .min(Comparator.comparingDouble(Candidate::answeredNanos))
+        .filter(candidate -> candidate.answeredNanos() <= query.remainingNanos());
   }
 
   private Shortage shortage(
       PlacementQuery query,
       String wanted,
       int open,
-      int usable,
-      List<ServerCell> asked,
+      List<ServerCell> usable,
+      List<Candidate> candidates,
       long nowNanos) {
-    List<ServerCell> candidates = candidates(query, rank(query, asked), nowNanos);
-    double shortestNanos =
-        candidates.stream()
-            .mapToDouble(cell -> waitNanos(cell, query.service(), nowNanos))
-            .min()
-            .orElse(-NANOS_PER_MILLI);
+    long cold =
+        usable.stream().filter(c -> c.region().equals(wanted) && c.isCold(nowNanos)).count();
     return new Shortage(
         wanted,
         open,
-        usable,
+        usable.size(),
+        (int) cold,
         candidates.size(),
-        (long) (shortestNanos / NANOS_PER_MILLI),
-        (long) (longestWaitNanos(query) / NANOS_PER_MILLI));
+        leastMillis(candidates, Candidate::waitNanos),
+        toMillis(longestWaitNanos(query)),
+        leastMillis(candidates, Candidate::answeredNanos),
+        toMillis(query.remainingNanos()));
   }
 
-  /** Returns the servers that an object uses, of servers in rank. */
-  private List<ServerCell> candidates(
-      PlacementQuery query, List<ServerCell> ranked, long nowNanos) {
-    List<ServerCell> candidates = new ArrayList<>();
-    for (int i = 0; i < ranked.size(); i++) {
-      ServerCell cell = ranked.get(i);
-      if (i < SERVERS_PER_OBJECT || times.isKnownWarm(query.objectHash(), cell, nowNanos)) {
-        candidates.add(cell);
-      }
-    }
-    return candidates;
+  private static long leastMillis(List<Candidate> candidates, ToDoubleFunction<Candidate> nanos) {
+    return candidates.isEmpty()
+        ? Shortage.NONE
+        : toMillis(candidates.stream().mapToDouble(nanos).min().orElseThrow());
+  }
+
+  private static long toMillis(double nanos) {
+    return (long) (nanos / NANOS_PER_MILLI);
   }
 
   private static boolean isHome(PlacementQuery query, ServerCell cell) {
@@ -149,19 +180,6 @@
     return cells.stream().filter(cell -> cell.region().equals(region)).toList();
   }
 
-  private Optional<Placement> chooseAmong(
-      PlacementQuery query, ServicePolicy policy, List<ServerCell> cells, long nowNanos) {
-    List<ServerCell> warm = new ArrayList<>();
-    for (ServerCell cell : rank(query, cells)) {
-      if (!cell.isCold(nowNanos)) {
-        warm.add(cell);
-      } else if (mayTakeCold(cell, policy, nowNanos)) {
-        return Optional.of(new Placement.Chosen(cell, cell.load(nowNanos)));
-      }
-    }
-    return earliest(query, warm, nowNanos);
-  }
-
   private static List<ServerCell> rank(PlacementQuery query, List<ServerCell> cells) {
     List<ServerCell> ranked = new ArrayList<>(cells);
     ranked.sort(
@@ -176,30 +194,6 @@
         && cell.tryTakeCold(policy.coldRequestsPerSecond() / ColdOwners.OWNERS, nowNanos);
   }
 
-  /** Returns the server whose answer is expected first, if its queue is short enough. */
-  private Optional<Placement> earliest(
-      PlacementQuery query, List<ServerCell> ranked, long nowNanos) {
-    ServerCell best = null;
-    double bestNanos = Double.MAX_VALUE;
-    double longestWaitNanos = longestWaitNanos(query);
-    for (int i = 0; i < ranked.size(); i++) {
-      ServerCell cell = ranked.get(i);
-      if (i >= SERVERS_PER_OBJECT && !times.isKnownWarm(query.objectHash(), cell, nowNanos)) {
-        continue;
-      }
-      double waitNanos = waitNanos(cell, query.service(), nowNanos);
-      double answeredNanos = waitNanos + workNanos(query, cell, i, nowNanos);
-      if (waitNanos <= longestWaitNanos && answeredNanos < bestNanos) {
-        best = cell;
-        bestNanos = answeredNanos;
-      }
-    }
-    if (best == null || bestNanos > query.remainingNanos()) {
-      return Optional.empty();
-    }
-    return Optional.of(new Placement.Chosen(best, best.load(nowNanos)));
-  }
-
   private double workNanos(PlacementQuery query, ServerCell cell, int rank, long nowNanos) {
     boolean warm =
         rank < WorkTimes.SHARED_RANKS || times.isKnownWarm(query.objectHash(), cell, nowNanos);
--- a/core/src/test/java/org/bambooarch/core/steering/place/ServerChooserTest.java
+++ b/core/src/test/java/org/bambooarch/core/steering/place/ServerChooserTest.java
@@ -114,6 +114,31 @@
     assertThat(shortage.shortestWaitMillis()).isGreaterThan(shortage.longestWaitMillis());
   }
 
+  @Test
+  void should_say_that_an_answer_would_come_too_late_when_a_free_server_cannot_answer_in_time() {
+    listServers("north-a", "north-a");
+    PlacementQuery late =
+        new PlacementQuery("shop", 7, 0, 600 * MILLIS, 1 * MILLIS, Set.of(), Set.of());
+
+    Shortage shortage = ((Placement.NoRoom) chooser.choose(late, POLICY, 0)).shortage();
+
+    assertThat(shortage.shortestWaitMillis()).isZero();
+    assertThat(shortage.answerMillis()).isGreaterThan(shortage.remainingMillis());
+  }
+
+  @Test
+  void should_say_that_all_servers_are_cold_when_they_have_just_started() {
+    listServers();
+    ServerEntry cold = server(0, "north-a");
+    table.put(cold, 3_000, 0);
+
+    Shortage shortage =
+        ((Placement.NoRoom) chooser.choose(query("object", 0, Set.of()), POLICY, 0)).shortage();
+
+    assertThat(shortage.coldServers()).isEqualTo(1);
+    assertThat(shortage.candidates()).isZero();
+  }
+
   @Test
   void should_say_that_nobody_was_asked_when_a_service_has_no_server() {
     listServers();
@@ -122,7 +147,7 @@
 
     Shortage shortage = ((Placement.NoRoom) placement).shortage();
     assertThat(shortage.openServers()).isZero();
-    assertThat(shortage.shortestWaitMillis()).isEqualTo(-1);
+    assertThat(shortage.shortestWaitMillis()).isEqualTo(Shortage.NONE);
   }
 
   @Test
