Count a death of a server that came back under its name

Deaths were kept by server with the time of the first; since a stop ends after ten seconds, a request that killed the same two servers again and again was stopped once and then never.

Change: deaths are events; losses at one server within four seconds are one, which covers heartbeats that repeat a note and one server that loses several connections.

Ruled out: a new time for each loss at a known server alone, which would count two servers for ever as two deaths and never reach the long stop.

Test, red before: kills at 1, 2 and 13 s of servers 1, 2 and 1 left the request free at 13 s; now it is stopped for ten minutes. Two more hold what must not count twice.

--- a/core/src/main/java/org/bambooarch/core/steering/fleet/CrashHistory.java
+++ b/core/src/main/java/org/bambooarch/core/steering/fleet/CrashHistory.java
@@ -39,12 +39,20 @@
   /** How long heartbeats repeat a death, since some are lost: four heartbeats. */
   static final long REPEAT_NANOS = 4 * FleetTable.HEARTBEAT_NANOS;
 
+  /**
+   * Time within which losses at one server are one death: heartbeats repeat it, and a server that
+   * died takes longer than that to come back.
+   */
+  static final long SAME_DEATH_NANOS = 2 * REPEAT_NANOS;
+
   private record OwnNote(Heartbeat.CrashNote note, long sinceNanos) {}
 
-  private final Map<Long, Map<Integer, Long>> deathNanosByRequest =
+  private record Death(int serverHash, long nanos) {}
+
+  private final Map<Long, Deque<Death>> deathsByRequest =
       new LinkedHashMap<>() {
         @Override
-        protected boolean removeEldestEntry(Map.Entry<Long, Map<Integer, Long>> eldest) {
+        protected boolean removeEldestEntry(Map.Entry<Long, Deque<Death>> eldest) {
           return size() > MAX_REQUESTS;
         }
       };
@@ -82,18 +90,18 @@
 
   /** Clears a request that was answered in full. */
   public void onAnswered(long requestHash) {
-    deathNanosByRequest.remove(requestHash);
+    deathsByRequest.remove(requestHash);
     ownNotes.removeIf(own -> own.note().requestHash() == requestHash);
   }
 
   /** Returns whether a request may be sent to a server. */
   public boolean maySend(long requestHash, long nowNanos) {
-    Map<Integer, Long> deaths = deathNanosByRequest.get(requestHash);
+    Deque<Death> deaths = deathsByRequest.get(requestHash);
     if (deaths == null || deaths.size() < DEATHS_TO_STOP) {
       return true;
     }
     long stopNanos = deaths.size() < DEATHS_TO_BAN ? STOP_NANOS : BAN_NANOS;
-    return deaths.values().stream().allMatch(nanos -> nowNanos - nanos >= stopNanos);
+    return nowNanos - deaths.getLast().nanos() >= stopNanos;
   }
 
   /** Returns the newest own deaths, for heartbeats. */
@@ -103,8 +111,20 @@
   }
 
   private void add(Heartbeat.CrashNote note, long nowNanos) {
-    deathNanosByRequest
-        .computeIfAbsent(note.requestHash(), hash -> new HashMap<>())
-        .putIfAbsent(note.serverHash(), nowNanos);
+    Deque<Death> deaths =
+        deathsByRequest.computeIfAbsent(note.requestHash(), hash -> new ArrayDeque<>());
+    boolean known =
+        deaths.stream()
+            .anyMatch(
+                death ->
+                    death.serverHash() == note.serverHash()
+                        && nowNanos - death.nanos() < SAME_DEATH_NANOS);
+    if (known) {
+      return;
+    }
+    deaths.addLast(new Death(note.serverHash(), nowNanos));
+    if (deaths.size() > DEATHS_TO_BAN) {
+      deaths.removeFirst();
+    }
   }
 }
--- a/core/src/test/java/org/bambooarch/core/steering/fleet/CrashHistoryTest.java
+++ b/core/src/test/java/org/bambooarch/core/steering/fleet/CrashHistoryTest.java
@@ -47,6 +47,35 @@
     assertThat(maySend(613)).isTrue();
   }
 
+  @Test
+  void should_stop_a_request_again_when_it_kills_servers_that_came_back_under_their_names() {
+    kill(1, 1);
+    kill(2, 2);
+    kill(1, 13);
+
+    assertThat(maySend(13)).isFalse();
+    assertThat(maySend(500)).isFalse();
+  }
+
+  @Test
+  void should_count_a_server_once_that_loses_several_connections_at_a_time() {
+    kill(1, 1);
+    kill(1, 3);
+
+    assertThat(maySend(3)).isTrue();
+  }
+
+  @Test
+  void should_count_a_death_once_though_heartbeats_repeat_it() {
+    other.onDeath(REQUEST, 1, 0, SECOND);
+    for (long half = 2; half <= 6; half++) {
+      history.onNotes(other.notes(half * SECOND / 2), half * SECOND / 2);
+    }
+    kill(1, 3);
+
+    assertThat(maySend(3)).isTrue();
+  }
+
   @Test
   void should_count_servers_that_die_at_the_same_moment_once() {
     history.onDeath(REQUEST, 1, 0, 5 * SECOND);
