--- a/core/src/main/java/org/bambooarch/core/steering/fleet/CustomerBucket.java
+++ b/core/src/main/java/org/bambooarch/core/steering/fleet/CustomerBucket.java
@@ -32,6 +32,12 @@
   /** Part of a bucket that is left for more urgent requests, by priority from the highest. */
   private static final double[] RESERVED_PART_BY_PRIORITY = {0, 0.2, 0.4};
 
+  /**
+   * The most reports kept: those of {@link FleetTable#REMEMBER_NANOS} and some more, after which a
+   * silent instance no longer holds them up. Only a list of instances that is never read does.
+   */
+  static final int MAX_UNCONFIRMED = 32;
+
   private static final double NANOS_PER_SECOND = 1e9;
 
   /** What was told to others at a moment: admissions since the report before, and demand. */
@@ -148,7 +154,11 @@
 
   /** Notes that others are told now; returns the requests admitted in the last window. */
   int report(long nowNanos) {
-    unconfirmed.addLast(new Report(nowNanos, unreported, demandPerSecond));
+    int withOlder = unreported;
+    if (unconfirmed.size() == MAX_UNCONFIRMED) {
+      withOlder += unconfirmed.removeLast().admitted();
+    }
+    unconfirmed.addLast(new Report(nowNanos, withOlder, demandPerSecond));
     unreported = 0;
     return admitted.total(nowNanos);
   }
@@ -161,6 +171,11 @@
     }
   }
 
+  /** Returns how many reports wait to be confirmed. */
+  int unconfirmedReports() {
+    return unconfirmed.size();
+  }
+
   /** Returns the demand here, in requests a second. */
   double demandPerSecond() {
     return demandPerSecond;
