Keep each object at one server and let full regions overflow

Requests were also refused on loads that are older than a request takes, objects warmed two servers each, and requests of 170 and 960 ms shared one average.

--- a/core/src/main/java/org/bambooarch/core/steering/place/PlacementQuery.java
+++ b/core/src/main/java/org/bambooarch/core/steering/place/PlacementQuery.java
@@ -6,6 +6,7 @@
  * A request for which a server is to be chosen.
  *
  * @param service service that must run it
+ * @param route name of the request's route; the requests of a route take similar processing times
  * @param objectHash hash of the object that the request concerns; a random number if there is none
  * @param priority priority under load; 0 is the highest
  * @param targetLatencyNanos remaining time within which a response has its full value for the
@@ -16,6 +17,7 @@
  */
 public record PlacementQuery(
     String service,
+    String route,
     long objectHash,
     int priority,
     long targetLatencyNanos,
--- a/core/src/main/java/org/bambooarch/core/steering/place/ProcessingTimes.java
+++ b/core/src/main/java/org/bambooarch/core/steering/place/ProcessingTimes.java
@@ -8,6 +8,9 @@
  * Average times that the servers of a service need to process a request: one for servers that are
  * warm for its object, which have handled it recently, and one for servers that are not.
  *
+ * <p>They are kept for each service, from which queueing times follow, and for each route of a
+ * service, whose requests may take much longer or shorter than those of other routes.
+ *
  * <p>A server counts as warm for an object if this instance got a response for the object from it
  * within {@link #WARM_NANOS}, or if it is among the first {@link #SHARED_WARM_RANKS} servers in the
  * object's ranking, to which all instances send its requests.
@@ -43,7 +46,10 @@
     private double coldNanos;
   }
 
+  private record RouteOfService(String service, String route) {}
+
   private final Map<String, Averages> averagesByService = new HashMap<>();
+  private final Map<RouteOfService, Averages> averagesByRoute = new HashMap<>();
 
   /**
    * Times of the last responses, by hash of object and server; the least recently used are dropped.
@@ -66,15 +72,29 @@
    * Records a response and the time from sending the request to it; call only if the request did
    * not have to queue.
    */
-  void onServed(
-      String service, long objectHash, ServerState server, long responseTimeNanos, long nowNanos) {
-    Averages averages = averagesByService.computeIfAbsent(service, name -> new Averages());
-    if (isKnownWarm(objectHash, server, nowNanos)) {
+  void onServed(PlacementQuery query, ServerState server, long responseTimeNanos, long nowNanos) {
+    boolean warm = isKnownWarm(query.objectHash(), server, nowNanos);
+    record(
+        averagesByService.computeIfAbsent(query.service(), name -> new Averages()),
+        warm,
+        responseTimeNanos);
+    record(
+        averagesByRoute.computeIfAbsent(routeOf(query), route -> new Averages()),
+        warm,
+        responseTimeNanos);
+    onServedUntimed(query.objectHash(), server, nowNanos);
+  }
+
+  private static RouteOfService routeOf(PlacementQuery query) {
+    return new RouteOfService(query.service(), query.route());
+  }
+
+  private static void record(Averages averages, boolean warm, long responseTimeNanos) {
+    if (warm) {
       averages.warmNanos = average(averages.warmNanos, responseTimeNanos);
     } else {
       averages.coldNanos = average(averages.coldNanos, responseTimeNanos);
     }
-    lastAnswerNanos.put(server.rendezvousScore(objectHash), nowNanos);
   }
 
   /**
@@ -91,7 +111,36 @@
 
   /** Returns the average time that a warm server needs for a request, in nanoseconds. */
   double warmNanos(String service) {
-    Averages averages = averagesByService.get(service);
+    return warmNanosOf(averagesByService.get(service));
+  }
+
+  /** Returns the average time that a warm server needs for a request of the query's route. */
+  double warmNanos(PlacementQuery query) {
+    return warmNanosOf(averagesOf(query));
+  }
+
+  /**
+   * Returns the average time that a server needs for a request for an object for which it is not
+   * warm, in nanoseconds; at least the time of a warm server.
+   */
+  double coldNanos(String service) {
+    return coldNanosOf(averagesByService.get(service));
+  }
+
+  /**
+   * Returns the average time that a server which is not warm for the object needs for a request of
+   * the query's route, in nanoseconds; at least the time of a warm server.
+   */
+  double coldNanos(PlacementQuery query) {
+    return coldNanosOf(averagesOf(query));
+  }
+
+  private Averages averagesOf(PlacementQuery query) {
+    Averages ofRoute = averagesByRoute.get(routeOf(query));
+    return ofRoute == null ? averagesByService.get(query.service()) : ofRoute;
+  }
+
+  private static double warmNanosOf(Averages averages) {
     if (averages == null) {
       return DEFAULT_WARM_NANOS;
     }
@@ -101,14 +150,9 @@
     return Math.min(DEFAULT_WARM_NANOS, averages.coldNanos);
   }
 
-  /**
-   * Returns the average time that a server needs for a request for an object for which it is not
-   * warm, in nanoseconds; at least the time of a warm server.
-   */
-  double coldNanos(String service) {
-    Averages averages = averagesByService.get(service);
+  private static double coldNanosOf(Averages averages) {
     double cold =
         averages == null || averages.coldNanos == 0 ? DEFAULT_COLD_NANOS : averages.coldNanos;
-    return Math.max(cold, warmNanos(service));
+    return Math.max(cold, warmNanosOf(averages));
   }
 }
--- a/core/src/main/java/org/bambooarch/core/steering/place/RegionSpillover.java
+++ b/core/src/main/java/org/bambooarch/core/steering/place/RegionSpillover.java
@@ -9,32 +9,35 @@
 /**
  * Decides which fraction of a service's requests is sent to other regions, and to which of them.
  *
- * <p>The fraction follows this region's load in small steps, because servers in other regions are
- * not warm for the objects that move there, and the links between regions have little bandwidth. It
- * jumps only when this region's capacity drops by more than a fifth between two steps. Objects are
- * moved in the fixed order of their hashes, so that a step moves few of them.
+ * <p>The fraction follows in small steps how much higher this region's load is than that of the
+ * other regions, because servers there are not warm for the objects that move there, and the links
+ * between regions have little bandwidth. Requests that only this region may serve find capacity
+ * only if the others leave before its servers are full. The fraction jumps only when this region's
+ * capacity drops by more than a fifth between two steps. Objects are moved in the fixed order of
+ * their hashes, so that a step moves few of them.
  *
  * <p>Not thread-safe.
  */
 final class RegionSpillover {
 
-  /** Load per slot in this region above which a step sends more requests to other regions. */
-  static final double HIGH_LOAD = 0.85;
+  /** Load per slot in this region up to which no more requests are sent to other regions. */
+  static final double MODERATE_LOAD = 0.5;
 
-  /** Load per slot in this region below which a step sends fewer requests to other regions. */
-  static final double LOW_LOAD = 0.55;
+  /** Load per slot in this region below which requests return from other regions. */
+  static final double LOW_LOAD = 0.3;
 
-  /**
-   * Load per slot below which another region has spare capacity; the fraction grows only while one
-   * has.
-   */
-  static final double REMOTE_HIGH_LOAD = 0.8;
+  /** Difference between the loads per slot of regions that is not worth moving objects. */
+  static final double LOAD_TOLERANCE = 0.1;
 
   /**
-   * Largest change of the fraction in one step. Four steps, the number within 2 s, stay below the
-   * fraction of a region's requests that may change their region in that time.
+   * Largest change of the fraction in one step. Four steps, the number within 2 s, and the requests
+   * of {@link OverflowBudget} together stay below the fraction of a region's requests that may
+   * change their region in that time.
    */
-  static final double MAX_STEP = 0.02;
+  static final double MAX_STEP = 0.015;
+
+  /** Weight of the newest loads in their moving averages. */
+  private static final double LOAD_SAMPLE_WEIGHT = 0.3;
 
   /** Time between two steps, in nanoseconds: 0.5 s. */
   static final long ADJUST_INTERVAL_NANOS = 500_000_000L;
@@ -42,6 +45,8 @@
   private static final class Split {
     private double fraction;
     private double localCapacity;
+    private double localLoad;
+    private double remoteLoad;
     private final Map<String, Double> remoteSpareCapacity = new TreeMap<>();
   }
 
@@ -131,16 +136,17 @@
   }
 
   private static void followLoad(Split split, double[] local, Map<String, double[]> remote) {
-    if (local == null || local[0] == 0) {
+    double remoteSlots = remote.values().stream().mapToDouble(sums -> sums[0]).sum();
+    if (local == null || local[0] == 0 || remoteSlots == 0) {
       return;
     }
-    double load = local[1] / local[0];
-    boolean remoteHasSpareCapacity =
-        remote.values().stream()
-            .anyMatch(sums -> sums[0] > 0 && sums[1] / sums[0] < REMOTE_HIGH_LOAD);
-    if (load > HIGH_LOAD && remoteHasSpareCapacity) {
+    double remoteRequests = remote.values().stream().mapToDouble(sums -> sums[1]).sum();
+    split.localLoad += LOAD_SAMPLE_WEIGHT * (local[1] / local[0] - split.localLoad);
+    split.remoteLoad += LOAD_SAMPLE_WEIGHT * (remoteRequests / remoteSlots - split.remoteLoad);
+    double difference = split.localLoad - split.remoteLoad;
+    if (split.localLoad > MODERATE_LOAD && difference > LOAD_TOLERANCE) {
       split.fraction = Math.min(1, split.fraction + MAX_STEP);
-    } else if (load < LOW_LOAD) {
+    } else if (split.localLoad < LOW_LOAD || difference < -LOAD_TOLERANCE) {
       split.fraction = Math.max(0, split.fraction - MAX_STEP);
     }
   }
--- a/core/src/main/java/org/bambooarch/core/steering/place/ServerChooser.java
+++ b/core/src/main/java/org/bambooarch/core/steering/place/ServerChooser.java
@@ -12,14 +12,13 @@
  * Chooses the server of a request.
  *
  * <p>Rendezvous hashing ranks the servers for an object in the same order at every instance. The
- * request goes where its response is expected first, by the time in the queue plus the processing
- * time, which is longer at servers that have not handled the object recently. A popular object
- * therefore goes to its second server only when the queue at the first one costs more than warming
- * the second.
+ * request goes to the first server of the ranking in its region, or to another one there that is
+ * known to be warm for the object, whichever is expected to respond first.
  *
  * <p>A request joins a queue only if requests that are processed warm behind it still get their
- * responses within the target latency, and the lower its priority, the shorter the queue must be.
- * Otherwise no server has capacity for it.
+ * responses within the target latency, or if the queue is short. The lower its priority, the
+ * shorter the queue must be. If no server of the region has capacity, a bounded fraction of the
+ * requests overflows to the first server of the other regions' ranking.
  *
  * <p>Not thread-safe.
  */
@@ -33,20 +32,22 @@
 
   /**
    * Queueing time that is accepted even if no response is in time, as a multiple of the average
-   * time that a warm server needs for a request.
+   * time that a warm server of the service needs for a request. Known loads are older than a
+   * request takes, and a refusal on such a load costs more than a short queue.
    */
-  private static final double MIN_QUEUE_PROCESSING_TIMES = 0.5;
+  private static final double MIN_QUEUE_PROCESSING_TIMES = 2;
 
   /** Fraction of the longest queueing time that a request may use, by priority from the highest. */
   private static final double[] QUEUE_FRACTION_BY_PRIORITY = {1.0, 0.8, 0.6};
 
   /**
-   * Number of servers that an object uses, besides those that are known to be warm for it.
+   * Number of servers in a region that an object uses, besides those that are known to be warm for
+   * it.
    *
    * <p>A server keeps few objects warm. An object that is sent to all servers under load evicts
    * other objects there, after which no server is warm for anything.
    */
-  private static final int SERVERS_PER_OBJECT = 2;
+  private static final int SERVERS_PER_OBJECT = 1;
 
   /** Added to the processing time for each rank after the first, as a fraction of that time. */
   private static final double RANK_PENALTY = 0.1;
@@ -60,6 +61,7 @@
   private final ColdServerOwners coldOwners;
   private final String region;
   private final ProcessingTimes processingTimes = new ProcessingTimes();
+  private final OverflowBudget overflowBudget = new OverflowBudget();
   private long adjustedNanos;
   private boolean adjusted;
 
@@ -88,6 +90,7 @@
         usable.add(server);
       }
     }
+    overflowBudget.onRequest(query.service());
     String preferred = preferredRegion(query, usable);
     List<ServerState> notCold = new ArrayList<>();
     for (ServerState server : rank(query, inRegion(usable, preferred))) {
@@ -98,9 +101,10 @@
       }
     }
     List<Candidate> candidates = candidates(query, notCold, nowNanos);
-    Optional<Candidate> best = earliestAnswer(query, candidates);
+    Optional<ServerState> best =
+        earliestAnswer(query, candidates).or(() -> overflow(query, preferred, usable, nowNanos));
     if (best.isPresent()) {
-      ServerState server = best.get().server();
+      ServerState server = best.get();
       return new Placement.Chosen(server, server.load(nowNanos));
     }
     return new Placement.NoRoom(
@@ -108,6 +112,26 @@
         noRoomDetails(query, preferred, available.size(), usable, candidates, nowNanos));
   }
 
+  /** Returns the best server outside the preferred region, if the overflow budget permits one. */
+  private Optional<ServerState> overflow(
+      PlacementQuery query, String preferred, List<ServerState> usable, long nowNanos) {
+    if (!overflowBudget.mayOverflow(query.service())) {
+      return Optional.empty();
+    }
+    List<ServerState> elsewhere = new ArrayList<>();
+    for (ServerState server : usable) {
+      if (!server.region().equals(preferred) && !server.isCold(nowNanos)) {
+        elsewhere.add(server);
+      }
+    }
+    Optional<ServerState> best =
+        earliestAnswer(query, candidates(query, rank(query, elsewhere), nowNanos));
+    if (best.isPresent()) {
+      overflowBudget.onOverflow(query.service());
+    }
+    return best;
+  }
+
   /**
    * A server, past its cold start, that the request's object uses.
    *
@@ -136,12 +160,13 @@
    * Returns the candidate whose response is expected first, of those whose queue is short enough;
    * empty if there is none or if its response would come after the deadline.
    */
-  private Optional<Candidate> earliestAnswer(PlacementQuery query, List<Candidate> candidates) {
+  private Optional<ServerState> earliestAnswer(PlacementQuery query, List<Candidate> candidates) {
     double longestWaitNanos = longestWaitNanos(query);
     return candidates.stream()
         .filter(candidate -> candidate.waitNanos() <= longestWaitNanos)
         .min(Comparator.comparingDouble(Candidate::answeredNanos))
-        .filter(candidate -> candidate.answeredNanos() <= query.remainingNanos());
+        .filter(candidate -> candidate.answeredNanos() <= query.remainingNanos())
+        .map(Candidate::server);
   }
 
   private NoRoomDetails noRoomDetails(
@@ -223,10 +248,7 @@
     boolean warm =
         rank < ProcessingTimes.SHARED_WARM_RANKS
             || processingTimes.isKnownWarm(query.objectHash(), server, nowNanos);
-    double processing =
-        warm
-            ? processingTimes.warmNanos(query.service())
-            : processingTimes.coldNanos(query.service());
+    double processing = warm ? processingTimes.warmNanos(query) : processingTimes.coldNanos(query);
     // Of servers that are otherwise equal, the first in rank is preferred.
     return processing * (1 + RANK_PENALTY * rank);
   }
@@ -243,10 +265,11 @@
   }
 
   private double longestWaitNanos(PlacementQuery query) {
-    double warm = processingTimes.warmNanos(query.service());
+    double warm = processingTimes.warmNanos(query);
     double waitInTime = query.targetLatencyNanos() - PROCESSING_MARGIN * warm;
     int priority = Math.clamp(query.priority(), 0, QUEUE_FRACTION_BY_PRIORITY.length - 1);
-    double longest = Math.max(waitInTime, MIN_QUEUE_PROCESSING_TIMES * warm);
+    double shortQueue = MIN_QUEUE_PROCESSING_TIMES * processingTimes.warmNanos(query.service());
+    double longest = Math.max(waitInTime, shortQueue);
     return longest * QUEUE_FRACTION_BY_PRIORITY[priority];
   }
 
@@ -278,8 +301,7 @@
       long responseTimeNanos,
       long nowNanos) {
     if (loadBefore < server.entry().slots() && server.region().equals(region)) {
-      processingTimes.onServed(
-          query.service(), query.objectHash(), server, responseTimeNanos, nowNanos);
+      processingTimes.onServed(query, server, responseTimeNanos, nowNanos);
     } else {
       processingTimes.onServedUntimed(query.objectHash(), server, nowNanos);
     }
--- a/core/src/test/java/org/bambooarch/core/steering/place/RegionSpilloverTest.java
+++ b/core/src/test/java/org/bambooarch/core/steering/place/RegionSpilloverTest.java
@@ -79,4 +79,32 @@
     }
     assertThat(regions()).containsOnly("north");
   }
+
+  @Test
+  void should_move_requests_away_before_servers_are_full_when_other_regions_are_idle() {
+    spillover.adjust("shop", servers(4, 4, 0), 0);
+    for (int step = 0; step < 20; step++) {
+      spillover.adjust("shop", servers(4, 4, 3), 0);
+    }
+    assertThat(regions()).contains("south");
+  }
+
+  @Test
+  void should_move_no_request_when_other_regions_are_as_loaded() {
+    spillover.adjust("shop", serversWithLoad(4, 4, 4), 0);
+    for (int step = 0; step < 20; step++) {
+      spillover.adjust("shop", serversWithLoad(4, 4, 4), 0);
+    }
+    assertThat(regions()).containsOnly("north");
+  }
+
+  private static List<ServerState> serversWithLoad(int north, int south, int load) {
+    List<ServerState> servers = servers(north, south, 0);
+    for (ServerState server : servers) {
+      for (int n = 0; n < load; n++) {
+        server.onSent();
+      }
+    }
+    return servers;
+  }
 }
--- a/gateway/src/main/java/org/bambooarch/gateway/request/ProxyExchange.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/ProxyExchange.java
@@ -167,6 +167,7 @@
     int priority = customer.map(CustomerPolicy::priority).orElse(route.priority());
     return new PlacementQuery(
         service,
+        route.name(),
         Hashes.combine(objectHash, Hashes.of(service)),
         priority,
         Math.max(0, route.targetLatencyMillis() * NANOS_PER_MILLI - elapsedNanos()),
