Read all lists again when the store returns from an older copy

Cause: the watchers kept the highest version that they had seen. Once the versions of the older copy had passed it, changes in between were never seen, servers that had left were in use again, and the instance's own row was not written again.

Change: each response carries the store's era. A later era makes both watchers read their lists in full at once, and the instance registers again; responses of an earlier era are ignored. The configuration only moves forward, as before.

Not covered: an instance that starts while the copy is still outdated takes the configuration that it finds.

--- a/core/src/main/java/org/bambooarch/core/steering/place/ServerTable.java
+++ b/core/src/main/java/org/bambooarch/core/steering/place/ServerTable.java
@@ -42,6 +42,7 @@
   private final Map<String, Long> graceEndNanosByMissingId = new HashMap<>();
   private final Set<String> lapsedIds = new HashSet<>();
   private final Set<String> evacuatedDataCentres = new HashSet<>();
+  private final DepartedServers departed = new DepartedServers();
   private long graceEndNanos;
   private boolean graceStarted;
   private boolean loaded;
@@ -62,6 +63,14 @@
     graceStarted = true;
   }
 
+  /**
+   * Records that the store has returned from an older copy, which lists servers that have left
+   * since it was made.
+   */
+  public void onStoreReverted(long nowNanos) {
+    departed.onStoreReverted(nowNanos);
+  }
+
   /**
    * Replaces the table by the whole list; a server that it lacks is removed as by {@link #remove}.
    */
@@ -85,6 +94,12 @@
    * new server counts as cold for the time that it reports.
    */
   public void put(ServerEntry entry, long coldStartMillis, long nowNanos) {
+    if (departed.isOutdated(entry, nowNanos)) {
+      return;
+    }
+    if (entry.draining()) {
+      departed.onDeparted(entry, nowNanos);
+    }
     graceEndNanosByMissingId.remove(entry.id());
     lapsedIds.remove(entry.id());
     String region = regionByDataCentre.getOrDefault(entry.dataCentre(), "");
@@ -129,6 +144,7 @@
       graceEndNanosByMissingId.putIfAbsent(id, graceEndNanos);
       return;
     }
+    departed.onDeparted(server.entry(), nowNanos);
     drop(id);
   }
 
@@ -143,6 +159,7 @@
 
   /** Stops requests to servers whose entries have not come back, and later drops these servers. */
   public void tick(long nowNanos) {
+    departed.tick(nowNanos);
     Iterator<Map.Entry<String, Long>> missing =
         List.copyOf(graceEndNanosByMissingId.entrySet()).iterator();
     while (missing.hasNext()) {
--- a/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
@@ -40,6 +40,13 @@
   /** Cold start of servers whose service has no policy in the configuration. */
   private static final long DEFAULT_COLD_START_MILLIS = 3_000;
 
+  /**
+   * Time after the store returned from an older copy for which data centres stay closed that the
+   * copy does not list as closed, in nanoseconds: 5 s. Operators' entries are written again by
+   * then.
+   */
+  private static final long KEEP_CLOSED_NANOS = 5_000_000_000L;
+
   /** Fraction of the fleet's retry slack that all instances together may accumulate. */
   private static final double RETRY_SLACK_FRACTION = 0.4;
 
@@ -52,7 +59,10 @@
   private final CrashHistory crashes = new CrashHistory();
   private final ServiceRetryBudgets retries;
   private final SmoothWeightedRoundRobin roundRobin = new SmoothWeightedRoundRobin();
+  private final Set<String> listedClosed = new HashSet<>();
   private SteeringConfig config;
+  private boolean keepsClosed;
+  private long keepClosedUntilNanos;
   private volatile boolean shuttingDown;
   private long lastTickNanos;
 
@@ -96,20 +106,35 @@
   }
 
   private void replaceOperatorEntries(List<ControlChange> changes) {
-    Set<String> closed = new HashSet<>();
-    for (ControlChange change : changes) {
-      apply(change);
-      if (change instanceof ControlChange.DataCentreClosed(String dataCentre)) {
-        closed.add(dataCentre);
-      }
+    listedClosed.clear();
+    changes.forEach(this::apply);
+    reopenUnlisted();
+  }
+
+  private void reopenUnlisted() {
+    if (keepsClosed) {
+      return;
     }
     for (String dataCentre : servers.evacuatedDataCentres()) {
-      if (!closed.contains(dataCentre)) {
+      if (!listedClosed.contains(dataCentre)) {
         apply(new ControlChange.DataCentreReopened(dataCentre));
       }
     }
   }
 
+  /**
+   * Records that the store has returned from an older copy. Until the rows that it lost are written
+   * again, data centres stay closed, servers that left stay out of use, and servers that are
+   * missing stay in use as after any return of the store.
+   */
+  public void onStoreReverted() {
+    long nowNanos = clock.monotonicNanos();
+    keepsClosed = true;
+    keepClosedUntilNanos = nowNanos + KEEP_CLOSED_NANOS;
+    servers.onStoreReverted(nowNanos);
+    servers.onStoreReturned(nowNanos);
+  }
+
   private void replaceServers(List<ControlChange> changes) {
     List<ServerEntry> entries = new ArrayList<>();
     for (ControlChange change : changes) {
@@ -142,9 +167,11 @@
           applyConfiguration(newConfig);
       case ControlChange.DataCentreClosed(String dataCentre) -> {
         Logger.info("event=data-centre-closed data-centre={}", dataCentre);
+        listedClosed.add(dataCentre);
         servers.evacuate(dataCentre);
       }
       case ControlChange.DataCentreReopened(String dataCentre) -> {
+        listedClosed.remove(dataCentre);
         Logger.info("event=data-centre-reopened data-centre={}", dataCentre);
         servers.reopen(dataCentre, coldStartMillis(""), nowNanos);
       }
@@ -212,6 +239,10 @@
       rateLimiter.tick(config, nowNanos, nowNanos - lastTickNanos);
       chooser.tick(services(), nowNanos);
     }
+    if (keepsClosed && nowNanos - keepClosedUntilNanos >= 0) {
+      keepsClosed = false;
+      reopenUnlisted();
+    }
     lastTickNanos = nowNanos;
   }
 
--- a/gateway/src/main/java/org/bambooarch/gateway/control/ListWatcher.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ListWatcher.java
@@ -14,7 +14,8 @@
  * Keeps a list of the platform up to date: reads it once in full and then watches its changes.
  *
  * <p>After a failure it retries with a growing delay and resumes from the version that it has. It
- * reads the full list again only if the store no longer keeps the changes since that version.
+ * reads the full list again only if the store no longer keeps the changes since that version, or if
+ * the store returned from an older copy, whose versions count anew from an earlier one.
  *
  * <p>Used on the event loop only.
  */
@@ -45,19 +46,28 @@
   private final ControlState state;
   private final EventLoop loop;
   private final RandomGenerator random;
+  private final StoreEra era;
   private boolean storeReachable = true;
   private boolean loaded;
   private boolean stopped;
   private long version;
+  private long listEra;
+  private long callNumber;
   private long retryDelayMillis = MIN_RETRY_DELAY_MILLIS;
 
   ListWatcher(
-      Topic topic, ControlStore store, ControlState state, EventLoop loop, RandomGenerator random) {
+      Topic topic,
+      ControlStore store,
+      ControlState state,
+      EventLoop loop,
+      RandomGenerator random,
+      StoreEra era) {
     this.topic = topic;
     this.store = store;
     this.state = state;
     this.loop = loop;
     this.random = random;
+    this.era = era;
   }
 
   /** Starts to read and watch the list. */
@@ -70,37 +80,70 @@
     stopped = true;
   }
 
+  /** Reads the full list at once if what is known of it comes from an earlier era of the store. */
+  void onNewEra() {
+    if (loaded && listEra != era.current()) {
+      loaded = false;
+      requestNextUpdate();
+    }
+  }
+
   private void requestNextUpdate() {
     if (stopped) {
       return;
     }
+    // The response to a call is ignored if another call has been made since.
+    long call = ++callNumber;
     if (loaded) {
       store
           .watch(topic, version, LONG_POLL_MILLIS)
-          .whenCompleteAsync((update, failure) -> onChanges(update, failure), loop);
+          .whenCompleteAsync((update, failure) -> onChanges(call, update, failure), loop);
     } else {
-      store.read(topic).whenCompleteAsync((update, failure) -> onFullList(update, failure), loop);
+      store
+          .read(topic)
+          .whenCompleteAsync((update, failure) -> onFullList(call, update, failure), loop);
     }
   }
 
-  private void onFullList(ControlUpdate update, Throwable failure) {
+  private void onFullList(long call, ControlUpdate update, Throwable failure) {
+    if (call != callNumber) {
+      return;
+    }
     if (failure != null) {
       onFailure(failure);
       return;
     }
     onStoreReachable();
+    listEra = update.storeEra();
+    era.onResponse(update.storeEra());
+    if (update.storeEra() < era.current()) {
+      schedule(BATCH_DELAY_MILLIS);
+      return;
+    }
     state.replaceList(topic, update);
     loaded = true;
     version = update.version();
     requestNextUpdate();
   }
 
-  private void onChanges(ControlUpdate update, Throwable failure) {
+  private void onChanges(long call, ControlUpdate update, Throwable failure) {
+    if (call != callNumber) {
+      return;
+    }
     if (failure != null) {
       onFailure(failure);
       return;
     }
     onStoreReachable();
+    if (update.storeEra() > listEra) {
+      // Calls onNewEra() of all lists, this one included.
+      era.onResponse(update.storeEra());
+      return;
+    }
+    if (update.storeEra() < listEra) {
+      schedule(BATCH_DELAY_MILLIS);
+      return;
+    }
     version = Math.max(version, update.version());
     if (update.changes().isEmpty()) {
       requestNextUpdate();
@@ -144,6 +187,14 @@
   }
 
   private void schedule(long millis) {
-    loop.schedule(this::requestNextUpdate, millis, TimeUnit.MILLISECONDS);
+    long call = callNumber;
+    loop.schedule(
+        () -> {
+          if (call == callNumber) {
+            requestNextUpdate();
+          }
+        },
+        millis,
+        TimeUnit.MILLISECONDS);
   }
 }
--- a/gateway/src/main/java/org/bambooarch/gateway/control/StoreSynchronizer.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/StoreSynchronizer.java
@@ -31,6 +31,7 @@
   private final EventLoop loop;
   private final RandomGenerator random;
   private final List<ListWatcher> watchers;
+  private final StoreEra era = new StoreEra(this::onNewEra);
   private boolean stopped;
 
   /** Creates a synchronizer that makes no calls until {@link #start()}. */
@@ -42,8 +43,8 @@
     this.random = random;
     this.watchers =
         List.of(
-            new ListWatcher(Topic.OPERATOR, store, state, loop, random),
-            new ListWatcher(Topic.SERVERS, store, state, loop, random));
+            new ListWatcher(Topic.OPERATOR, store, state, loop, random, era),
+            new ListWatcher(Topic.SERVERS, store, state, loop, random, era));
   }
 
   /** Starts to watch the lists, and registers this instance. */
@@ -68,6 +69,12 @@
             });
   }
 
+  private void onNewEra() {
+    state.onStoreReverted();
+    watchers.forEach(ListWatcher::onNewEra);
+    register();
+  }
+
   private InstanceIdentity identity() {
     return state.fleet().self();
   }
--- a/gateway/src/main/java/org/bambooarch/gateway/warmup/WarmUpStore.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/warmup/WarmUpStore.java
@@ -38,7 +38,7 @@
           case SERVERS -> List.of(new ControlChange.ServerListed(server()));
           case INSTANCES -> List.of();
         };
-    return CompletableFuture.completedFuture(new ControlUpdate(1, changes));
+    return CompletableFuture.completedFuture(new ControlUpdate(0, 1, changes));
   }
 
   private static SteeringConfig config() {
--- a/gateway/src/test/java/org/bambooarch/gateway/control/ListWatcherTest.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/control/ListWatcherTest.java
@@ -36,9 +36,15 @@
   private final ManualClock clock = ManualClock.startingAtZero();
   private final ControlState state = new ControlState(settings(), clock);
   private final FailingStore store = new FailingStore();
+  private final StoreEra era = new StoreEra(this::onNewEra);
   private final ListWatcher watcher =
       new ListWatcher(
-          Topic.SERVERS, store, state, channel.eventLoop(), RandomGenerator.of("L64X128MixRandom"));
+          Topic.SERVERS,
+          store,
+          state,
+          channel.eventLoop(),
+          RandomGenerator.of("L64X128MixRandom"),
+          era);
   private long nowMillis;
 
   /** A store whose calls fail while {@link #failure} is set; records its calls and their times. */
@@ -77,12 +83,21 @@
     }
   }
 
+  private void onNewEra() {
+    state.onStoreReverted();
+    watcher.onNewEra();
+  }
+
   private static ControlUpdate listOf(ServerEntry... servers) {
+    return listOf(0, 7, servers);
+  }
+
+  private static ControlUpdate listOf(long storeEra, long version, ServerEntry... servers) {
     List<ControlChange> changes = new ArrayList<>();
     for (ServerEntry server : servers) {
       changes.add(new ControlChange.ServerListed(server));
     }
-    return new ControlUpdate(7, changes);
+    return new ControlUpdate(storeEra, version, changes);
   }
 
   private static ServerEntry server(String id, boolean draining) {
@@ -174,7 +189,7 @@
     store.pending = new CompletableFuture<>();
     advance(1_000);
     state.servers().onStoreReturned(clock.monotonicNanos());
-    state.applyChanges(new ControlUpdate(9, List.of(new ControlChange.ServerRemoved("a"))));
+    state.applyChanges(new ControlUpdate(0, 9, List.of(new ControlChange.ServerRemoved("a"))));
 
     state.servers().tick(clock.monotonicNanos());
     assertThat(state.servers().find("a")).isPresent();
@@ -183,4 +198,84 @@
     state.servers().tick(clock.monotonicNanos());
     assertThat(state.servers().find("a")).isEmpty();
   }
+
+  @Test
+  void should_read_the_full_list_when_the_store_returned_from_an_older_copy() {
+    start();
+    CompletableFuture<ControlUpdate> firstWatch = store.pending;
+    store.pending = new CompletableFuture<>();
+    store.fullList = listOf(1, 9, server("a", false), server("c", false));
+    // The versions of the copy have passed the known one, so the store has no reason to fail.
+    firstWatch.complete(listOf(1, 8, server("c", false)));
+    advance(500);
+
+    assertThat(store.calls).containsExactly("read", "watch 7", "read", "watch 9");
+    assertThat(state.servers().find("c")).isPresent();
+  }
+
+  @Test
+  void should_not_wait_for_a_watch_of_the_earlier_era_when_another_list_shows_the_new_one() {
+    start();
+    CompletableFuture<ControlUpdate> earlierWatch = store.pending;
+    store.pending = new CompletableFuture<>();
+    store.fullList = listOf(1, 5, server("a", false), server("b", true));
+    era.onResponse(1);
+    advance(100);
+    earlierWatch.complete(listOf(0, 8, server("late", false)));
+    advance(500);
+
+    assertThat(store.calls).containsExactly("read", "watch 7", "read", "watch 5");
+    assertThat(state.servers().find("late")).isEmpty();
+  }
+
+  @Test
+  void should_not_use_servers_that_left_when_the_store_returns_from_a_copy_that_lists_them() {
+    start();
+    CompletableFuture<ControlUpdate> firstWatch = store.pending;
+    store.pending = new CompletableFuture<>();
+    firstWatch.complete(
+        new ControlUpdate(
+            0,
+            9,
+            List.of(
+                new ControlChange.ServerListed(server("a", true)),
+                new ControlChange.ServerRemoved("b"))));
+    advance(500);
+    store.fullList = listOf(1, 7, server("a", false), server("b", false));
+    store.pending.complete(listOf(1, 8));
+    store.pending = new CompletableFuture<>();
+    advance(3_000);
+
+    assertThat(store.calls).filteredOn("read"::equals).hasSize(2);
+    assertThat(state.servers().find("a").orElseThrow().entry().draining()).isTrue();
+    assertThat(state.servers().find("b")).isEmpty();
+  }
+
+  @Test
+  void should_keep_data_centres_closed_for_five_seconds_when_the_copy_does_not_list_them() {
+    state.replaceList(
+        Topic.OPERATOR,
+        new ControlUpdate(0, 7, List.of(new ControlChange.DataCentreClosed("north-a"))));
+    state.onStoreReverted();
+    state.replaceList(Topic.OPERATOR, new ControlUpdate(1, 5, List.of()));
+    assertThat(state.servers().evacuatedDataCentres()).containsExactly("north-a");
+
+    clock.advanceMillis(5_000);
+    state.tick();
+    assertThat(state.servers().evacuatedDataCentres()).isEmpty();
+  }
+
+  @Test
+  void should_leave_data_centres_closed_when_operators_write_it_again_after_the_stores_return() {
+    ControlUpdate closed =
+        new ControlUpdate(1, 7, List.of(new ControlChange.DataCentreClosed("north-a")));
+    state.replaceList(Topic.OPERATOR, closed);
+    state.onStoreReverted();
+    state.replaceList(Topic.OPERATOR, new ControlUpdate(1, 5, List.of()));
+    state.applyChanges(closed);
+
+    clock.advanceMillis(6_000);
+    state.tick();
+    assertThat(state.servers().evacuatedDataCentres()).containsExactly("north-a");
+  }
 }
