Send nothing for clients that left while the event loop was behind

The event loop of an instance was behind by up to 0.9 s; it read a request and sent it, or completed a connection and sent over it, before it came to the close that had arrived meanwhile.

Change: sends wait until the events that have arrived are processed.

--- a/gateway/src/main/java/org/bambooarch/gateway/request/BufferedResponseRelay.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/BufferedResponseRelay.java
@@ -2,6 +2,7 @@
 
 import com.linecorp.armeria.common.HttpData;
 import com.linecorp.armeria.common.HttpHeaderNames;
+import com.linecorp.armeria.common.HttpObject;
 import com.linecorp.armeria.common.HttpResponseWriter;
 import com.linecorp.armeria.common.ResponseHeaders;
 import io.netty.buffer.ByteBuf;
@@ -62,7 +63,7 @@
     buffer.writeBytes(bytes);
     if (buffer.size() > MAX_BUFFERED_BYTES) {
       started = true;
-      writer.write(headers().build());
+      write(headers().build());
       writePart(buffer.toByteArray());
       buffer.reset();
     }
@@ -71,10 +72,20 @@
   /** Writes a part and stops reading from the server until the client has consumed the part. */
   private void writePart(byte[] bytes) {
     handle.setAutoRead(false);
-    writer.write(HttpData.wrap(bytes));
+    write(HttpData.wrap(bytes));
     writer.whenConsumed().thenRun(() -> handle.setAutoRead(true));
   }
 
+  /**
+   * Writes a part of the response unless the client has left, which the writer reports to the
+   * exchange when it completes.
+   */
+  private void write(HttpObject part) {
+    if (writer.isOpen()) {
+      writer.write(part);
+    }
+  }
+
   /** Ends the response; a buffered one is written in full, with its length. */
   void onComplete() {
     if (!started) {
@@ -83,9 +94,9 @@
       if (!head.status().isContentAlwaysEmpty() && !head.contains(HttpHeaderNames.CONTENT_LENGTH)) {
         headers.contentLength(bytes.length);
       }
-      writer.write(headers.build());
+      write(headers.build());
       if (bytes.length > 0) {
-        writer.write(HttpData.wrap(bytes));
+        write(HttpData.wrap(bytes));
       }
     }
     writer.close();
--- a/gateway/src/main/java/org/bambooarch/gateway/request/ProxyExchange.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/ProxyExchange.java
@@ -114,7 +114,14 @@
       refuse(RequestOutcome.CRASHES_SERVERS, 503, 0);
       return;
     }
-    chooseServerAndSend();
+    // If the client has left meanwhile, the event loop processes that before it runs this task.
+    context.loop().execute(this::sendFirst);
+  }
+
+  private void sendFirst() {
+    if (!finished) {
+      chooseServerAndSend();
+    }
   }
 
   /**
@@ -341,7 +348,9 @@
     if (state.isShuttingDown()) {
       refusal = refusal.toBuilder().set(HttpHeaderNames.CONNECTION, "close").build();
     }
-    writer.write(refusal);
+    if (writer.isOpen()) {
+      writer.write(refusal);
+    }
     writer.close();
     finish(outcome, status, log.lastFailure());
   }
--- a/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnectionPool.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnectionPool.java
@@ -44,6 +44,7 @@
   private static final int MAX_CHUNK_BYTES = 64 * 1024;
 
   private final ServerEntry server;
+  private final EventLoop loop;
   private final Bootstrap bootstrap;
   private final Clock clock;
   private final Deque<TargetConnection> idleConnections = new ArrayDeque<>();
@@ -59,6 +60,7 @@
       int connectTimeoutMillis) {
     this.server = server;
     this.format = format;
+    this.loop = loop;
     this.clock = clock;
     this.bootstrap =
         new Bootstrap()
@@ -116,15 +118,25 @@
                 return;
               }
               onConnected.run();
-              if (handle.isCancelled()) {
-                newConnection.close();
-                return;
-              }
-              handle.onConnectionReady(newConnection);
-              newConnection.send(request, listener);
+              // If the client has left meanwhile, the event loop processes that before it runs this
+              // task.
+              loop.execute(() -> sendOverNew(newConnection, request, listener, handle));
             });
   }
 
+  private static void sendOverNew(
+      TargetConnection newConnection,
+      TargetRequest request,
+      TargetResponseListener listener,
+      TargetRequestHandle handle) {
+    if (handle.isCancelled()) {
+      newConnection.close();
+      return;
+    }
+    handle.onConnectionReady(newConnection);
+    newConnection.send(request, listener);
+  }
+
   private static boolean isConnectionRefused(Throwable cause) {
     return cause instanceof ConnectException
         && !(cause instanceof io.netty.channel.ConnectTimeoutException);
