Close a stopping instance's connections only with the newest response

Cause: a stopping instance closed the connection with whatever response came next. Clients take requests that they sent behind such a response as not read and send them again, though they had been passed on to servers.

Change: only the response to the newest request of a connection says that it closes, and refusals only once all new requests are refused, when nothing behind them runs.

RequestForwardingTest stops the gateway between two requests in a row; it fails on the code before. Their order is tested as well, which passed before.

--- a/gateway/src/main/java/org/bambooarch/gateway/request/BufferedResponseRelay.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/BufferedResponseRelay.java
@@ -8,6 +8,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import java.io.ByteArrayOutputStream;
+import java.util.function.BooleanSupplier;
 import org.bambooarch.gateway.target.TargetRequestHandle;
 
 /**
@@ -28,19 +29,28 @@
   private final HttpResponseWriter writer;
   private final ResponseHeaders head;
   private final TargetRequestHandle handle;
-  private final boolean closeConnection;
+  private final BooleanSupplier closesConnection;
   private final ByteArrayOutputStream buffer = new ByteArrayOutputStream();
   private boolean started;
 
+  /**
+   * Creates a relay that has not received any part of the body.
+   *
+   * @param writer writer of the response to the client
+   * @param head head of the response
+   * @param handle handle of the request to the server
+   * @param closesConnection tells, when the response is written, whether it is the last one on the
+   *     client's connection
+   */
   BufferedResponseRelay(
       HttpResponseWriter writer,
       ResponseHeaders head,
       TargetRequestHandle handle,
-      boolean closeConnection) {
+      BooleanSupplier closesConnection) {
     this.writer = writer;
     this.head = head;
     this.handle = handle;
-    this.closeConnection = closeConnection;
+    this.closesConnection = closesConnection;
   }
 
   /** Returns whether a part of the response has been written to the client already. */
@@ -111,7 +121,7 @@
 
   private com.linecorp.armeria.common.ResponseHeadersBuilder headers() {
     var builder = head.toBuilder();
-    if (closeConnection) {
+    if (closesConnection.getAsBoolean()) {
       builder.set(HttpHeaderNames.CONNECTION, "close");
     }
     return builder;
--- a/gateway/src/main/java/org/bambooarch/gateway/request/ProxyExchange.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/ProxyExchange.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.bambooarch.core.steering.RetryDecider;
 import org.bambooarch.core.steering.RetryDecider.AttemptResult;
 import org.bambooarch.core.steering.config.CustomerPolicy;
@@ -55,6 +56,7 @@
   private final ServiceRoute route;
   private final Optional<CustomerPolicy> customer;
   private final HttpResponseWriter writer;
+  private final BooleanSupplier newestOnConnection;
   private final String service;
   private final RetryDecider retryDecider;
   private final HomeRegions homeRegions;
@@ -77,6 +79,7 @@
       ServiceRoute route,
       Optional<CustomerPolicy> customer,
       HttpResponseWriter writer,
+      BooleanSupplier newestOnConnection,
       long maxBodyBytes) {
     this.context = context;
     this.state = context.state();
@@ -85,6 +88,7 @@
     this.route = route;
     this.customer = customer;
     this.writer = writer;
+    this.newestOnConnection = newestOnConnection;
     this.service = state.roundRobin().next(route);
     this.retryDecider = new RetryDecider(route, service, state.retries());
     this.homeRegions = HomeRegions.of(route, customer);
@@ -345,7 +349,7 @@
     }
     ResponseHeaders refusal =
         context.requestFormat().refusalHeaders(status, retryAfterMillis, clientHeaders.requestId());
-    if (state.isShuttingDown()) {
+    if (closesConnection()) {
       refusal = refusal.toBuilder().set(HttpHeaderNames.CONNECTION, "close").build();
     }
     if (writer.isOpen()) {
@@ -363,6 +367,11 @@
         outcome, status, cause, Optional.ofNullable(server), retryDecider.sends(), elapsedNanos());
   }
 
+  /** Returns whether a response that is written now is the last one on the client's connection. */
+  boolean closesConnection() {
+    return state.isShuttingDown() && newestOnConnection.getAsBoolean();
+  }
+
   private long elapsedNanos() {
     return state.clock().monotonicNanos() - arrivedNanos;
   }
--- a/gateway/src/main/java/org/bambooarch/gateway/request/ProxyService.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/ProxyService.java
@@ -138,13 +138,22 @@
       Optional<CustomerPolicy> customer,
       long maxBodyBytes) {
     HttpResponseWriter writer = HttpResponse.streaming();
+    Channel channel = channelOf(armeriaContext);
+    ClientConnection connection = ClientConnection.of(channel);
+    long number = connection.onRequest();
     ProxyExchange exchange =
         new ProxyExchange(
-            context, request.headers(), clientHeaders, route, customer, writer, maxBodyBytes);
+            context,
+            request.headers(),
+            clientHeaders,
+            route,
+            customer,
+            writer,
+            () -> connection.isNewest(number),
+            maxBodyBytes);
     inFlight++;
     // Armeria reports that the client has disconnected a second later than the connection does.
     ChannelFutureListener onClosed = closed -> exchange.onClientDisconnected();
-    Channel channel = armeriaContext.log().ensureAvailable(RequestLogProperty.SESSION).channel();
     channel.closeFuture().addListener(onClosed);
     writer
         .whenComplete()
@@ -159,6 +168,10 @@
     return writer;
   }
 
+  private static Channel channelOf(ServiceRequestContext armeriaContext) {
+    return armeriaContext.log().ensureAvailable(RequestLogProperty.SESSION).channel();
+  }
+
   private HttpResponse refuse(
       HttpRequest request,
       ClientRequestHeaders clientHeaders,
@@ -191,7 +204,8 @@
     }
     ResponseHeaders refusal =
         context.requestFormat().refusalHeaders(status, retryAfterMillis, clientHeaders.requestId());
-    if (context.state().isShuttingDown()) {
+    if (refusingNewRequests) {
+      // No request behind this one on its connection runs either.
       refusal = refusal.toBuilder().set(HttpHeaderNames.CONNECTION, "close").build();
     }
     request.abort();
--- a/gateway/src/main/java/org/bambooarch/gateway/request/ServerAttempt.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/ServerAttempt.java
@@ -111,7 +111,7 @@
             writer,
             context.requestFormat().toClientResponse(responseHead),
             exchange.requestHandle(),
-            state.isShuttingDown());
+            exchange::closesConnection);
   }
 
   @Override
