--- a/cli/src/main/java/org/bambooarch/cli/command/ExplainCommand.java
+++ b/cli/src/main/java/org/bambooarch/cli/command/ExplainCommand.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.List;
+import java.util.Optional;
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
 import org.bambooarch.cli.Command;
@@ -14,13 +15,14 @@
 
 /**
  * Explains from the logs of instances what happened to a request, a server or a version of the
- * configuration.
+ * configuration, or which requests were lost and why.
  */
 final class ExplainCommand implements Command {
 
   private static final String REQUEST = "request";
   private static final String SERVER = "server";
   private static final String VERSION = "version";
+  private static final String LOSSES = "losses";
 
   @Override
   public String name() {
@@ -29,7 +31,7 @@
 
   @Override
   public String arguments() {
-    return "(--request ID | --server ID | --version N) LOG...";
+    return "(--request ID | --server ID | --version N | --losses) LOG...";
   }
 
   @Override
@@ -42,17 +44,21 @@
     options.accepts(REQUEST, "id of a request").withRequiredArg();
     options.accepts(SERVER, "id of a server").withRequiredArg();
     options.accepts(VERSION, "version of the configuration").withRequiredArg();
+    options.accepts(LOSSES, "count the requests that were not answered, by cause and place");
   }
 
   @Override
   public ExitCode run(OptionSet options, Console console) throws CommandException {
-    LogQuery query = query(options);
+    Optional<LogQuery> query =
+        options.has(LOSSES) ? Optional.empty() : Optional.of(query(options));
     List<String> files = options.nonOptionArguments().stream().map(String::valueOf).toList();
     if (files.isEmpty()) {
       throw CommandErrors.wrongArguments("one log file or more", files);
     }
     try {
-      for (String line : LogExplainer.read(files, System.in).explain(query)) {
+      LogExplainer explainer = LogExplainer.read(files, System.in);
+      List<String> lines = query.map(explainer::explain).orElseGet(explainer::summarizeLosses);
+      for (String line : lines) {
         console.printLine("%s", line);
       }
     } catch (IOException e) {
@@ -71,6 +77,6 @@
     if (options.has(VERSION)) {
       return new LogQuery.ByVersion((String) options.valueOf(VERSION));
     }
-    throw CommandErrors.wrongArguments("--request, --server or --version", List.of());
+    throw CommandErrors.wrongArguments("--request, --server or --version, or --losses", List.of());
   }
 }
--- a/cli/src/main/java/org/bambooarch/cli/explain/LogExplainer.java
+++ b/cli/src/main/java/org/bambooarch/cli/explain/LogExplainer.java
@@ -22,10 +22,10 @@
   /** File name that means the standard input. */
   public static final String STANDARD_INPUT = "-";
 
-  private final LogQueryRunner runner;
+  private final List<List<LogLine>> files;
 
   private LogExplainer(List<List<LogLine>> files) {
-    this.runner = new LogQueryRunner(files);
+    this.files = files;
   }
 
   /**
@@ -52,6 +52,14 @@
 
   /** Returns the lines to print for a query; the last one is the conclusion. */
   public List<String> explain(LogQuery query) {
-    return runner.run(query).toLines();
+    return new LogQueryRunner(files).run(query).toLines();
+  }
+
+  /**
+   * Returns the lines to print that count the requests which were not answered, by outcome,
+   * service, place and second.
+   */
+  public List<String> summarizeLosses() {
+    return new LossSummary(files).toLines();
   }
 }
--- a/cli/src/main/java/org/bambooarch/cli/explain/LogQueryRunner.java
+++ b/cli/src/main/java/org/bambooarch/cli/explain/LogQueryRunner.java
@@ -21,6 +21,7 @@
           "servers-read",
           "store-lost",
           "store-regained",
+          "store-reverted",
           "history-lost",
           "data-centre-closed",
           "data-centre-reopened",
--- a/cli/src/test/java/org/bambooarch/cli/explain/LogExplainerTest.java
+++ b/cli/src/test/java/org/bambooarch/cli/explain/LogExplainerTest.java
@@ -94,4 +94,35 @@
 
     assertThat(answer.getFirst()).isEqualTo("  -:1 time=bad event=configured version=9");
   }
+
+  @Test
+  void should_count_unanswered_requests_by_cause_and_place_when_losses_are_summarized()
+      throws IOException {
+    String log =
+        String.join(
+            "\n",
+            "time=2026-01-01T00:00:00Z event=started instance=e-1 data-centre=north-a",
+            "time=2026-01-01T00:00:01.2Z event=request-finished service=shop outcome=no-room"
+                + " region=west open=20 usable=20 cold=0 candidates=1",
+            "time=2026-01-01T00:00:01.9Z event=request-finished service=shop outcome=no-room"
+                + " region=west open=20 usable=2 cold=1 candidates=2",
+            "time=2026-01-01T00:00:02Z event=request-refused outcome=over-rate",
+            "time=2026-01-01T00:00:02Z event=request-finished service=shop outcome=answered",
+            "time=2026-01-01T00:00:03Z event=lines-suppressed cause=no-room lines=7");
+
+    List<String> lines =
+        LogExplainer.read(
+                List.of(LogExplainer.STANDARD_INPUT),
+                new ByteArrayInputStream(log.getBytes(StandardCharsets.UTF_8)))
+            .summarizeLosses();
+
+    assertThat(lines)
+        .containsExactly(
+            "requests outcome service data-centre region usable candidates cold",
+            "2 no-room shop north-a west 11.0 1.5 0.5",
+            "1 over-rate - north-a - - - -",
+            "7 no-room (lines suppressed)",
+            "2026-01-01T00:00:01Z 2",
+            "2026-01-01T00:00:02Z 1");
+  }
 }
