Count unreadable numbers in the summary of lost requests

Cause: a number that could not be read counted as 0 without a word. Change: the summary's last line says how many were unreadable; LogExplainerTest covers it.

--- a/cli/src/main/java/org/bambooarch/cli/command/ExplainCommand.java
+++ b/cli/src/main/java/org/bambooarch/cli/command/ExplainCommand.java
@@ -49,8 +49,7 @@
 
   @Override
   public ExitCode run(OptionSet options, Console console) throws CommandException {
-    Optional<LogQuery> query =
-        options.has(LOSSES) ? Optional.empty() : Optional.of(query(options));
+    Optional<LogQuery> query = options.has(LOSSES) ? Optional.empty() : Optional.of(query(options));
     List<String> files = options.nonOptionArguments().stream().map(String::valueOf).toList();
     if (files.isEmpty()) {
       throw CommandErrors.wrongArguments("one log file or more", files);
--- a/cli/src/main/java/org/bambooarch/cli/explain/LossSummary.java
+++ b/cli/src/main/java/org/bambooarch/cli/explain/LossSummary.java
@@ -37,6 +37,7 @@
   private final Map<Group, Losses> lossesByGroup = new HashMap<>();
   private final Map<String, Integer> suppressedByOutcome = new TreeMap<>();
   private final Map<Instant, Integer> lossesBySecond = new TreeMap<>();
+  private int unreadableNumbers;
 
   /** Creates the summary of logs, one list of lines for each process. */
   LossSummary(List<List<LogLine>> files) {
@@ -79,11 +80,11 @@
     return value.isEmpty() ? NONE : value;
   }
 
-  private static int numberIn(LogLine line, String field) {
+  private int numberIn(LogLine line, String field) {
     try {
       return Integer.parseInt(line.field(field));
     } catch (NumberFormatException e) {
-      // A line of another program; the summary goes on without its number.
+      unreadableNumbers++;
       return 0;
     }
   }
@@ -98,6 +99,9 @@
     suppressedByOutcome.forEach(
         (outcome, count) -> lines.add("%d %s (lines suppressed)".formatted(count, outcome)));
     lossesBySecond.forEach((second, count) -> lines.add("%s %d".formatted(second, count)));
+    if (unreadableNumbers > 0) {
+      lines.add("%d numbers are unreadable and count as 0".formatted(unreadableNumbers));
+    }
     return lines;
   }
 
--- a/cli/src/test/java/org/bambooarch/cli/explain/LogExplainerTest.java
+++ b/cli/src/test/java/org/bambooarch/cli/explain/LogExplainerTest.java
@@ -108,7 +108,8 @@
                 + " region=west open=20 usable=2 cold=1 candidates=2",
             "time=2026-01-01T00:00:02Z event=request-refused outcome=over-rate",
             "time=2026-01-01T00:00:02Z event=request-finished service=shop outcome=answered",
-            "time=2026-01-01T00:00:03Z event=lines-suppressed cause=no-room lines=7");
+            "time=2026-01-01T00:00:03Z event=lines-suppressed cause=no-room lines=7",
+            "time=2026-01-01T00:00:03Z event=lines-suppressed cause=lost lines=many");
 
     List<String> lines =
         LogExplainer.read(
@@ -121,8 +122,10 @@
             "requests outcome service data-centre region usable candidates cold",
             "2 no-room shop north-a west 11.0 1.5 0.5",
             "1 over-rate - north-a - - - -",
+            "0 lost (lines suppressed)",
             "7 no-room (lines suppressed)",
             "2026-01-01T00:00:01Z 2",
-            "2026-01-01T00:00:02Z 1");
+            "2026-01-01T00:00:02Z 1",
+            "1 numbers are unreadable and count as 0");
   }
 }
