Make the fleet simulation repeat exactly for a seed

Change: data centres are sorted, and the logarithm and power that draw arrivals and objects are the strict ones.

--- a/core/src/test/java/org/bambooarch/core/steering/load/FleetSimulation.java
+++ b/core/src/test/java/org/bambooarch/core/steering/load/FleetSimulation.java
@@ -246,7 +246,7 @@
 
   private void arriveNext(DataCentre dataCentre) {
     double rate = dataCentre.requestsPerSecond() * rateFactor.applyAsDouble(dataCentre);
-    double nextMillis = -Math.log(1 - random.nextDouble()) * 1_000 / Math.max(0.1, rate);
+    double nextMillis = -StrictMath.log(1 - random.nextDouble()) * 1_000 / Math.max(0.1, rate);
     if (clock.nowMillis() > endMillis) {
       return;
     }
@@ -277,7 +277,7 @@
   private int popularObject(int objects) {
     while (true) {
       int number = random.nextInt(objects);
-      if (random.nextDouble() < Math.pow(number + 1, -POPULARITY_EXPONENT)) {
+      if (random.nextDouble() < StrictMath.pow(number + 1, -POPULARITY_EXPONENT)) {
         return number;
       }
     }
--- a/core/src/test/java/org/bambooarch/core/steering/load/PeakLoadSimulation.java
+++ b/core/src/test/java/org/bambooarch/core/steering/load/PeakLoadSimulation.java
@@ -117,7 +117,8 @@
 
   private void arrive(double requestsPerSecond, long untilMillis) {
     ask(random.nextInt(OBJECTS), instances.get(random.nextInt(INSTANCES)));
-    double next = clock.nowMillis() - Math.log(1 - random.nextDouble()) * 1_000 / requestsPerSecond;
+    double next =
+        clock.nowMillis() - StrictMath.log(1 - random.nextDouble()) * 1_000 / requestsPerSecond;
     if (next < untilMillis) {
       clock.at(next, () -> arrive(requestsPerSecond, untilMillis));
     }
--- a/core/src/test/java/org/bambooarch/core/steering/load/SimulatedDeployment.java
+++ b/core/src/test/java/org/bambooarch/core/steering/load/SimulatedDeployment.java
@@ -1,5 +1,6 @@
 package org.bambooarch.core.steering.load;
 
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -48,7 +49,13 @@
       Map<String, Integer> serversByDataCentre,
       int slots,
       int queueCapacity,
-      int warmObjects) {}
+      int warmObjects) {
+
+    /** Sorts the data centres, so that a seed gives the same servers in each run. */
+    Service {
+      serversByDataCentre = Collections.unmodifiableMap(new TreeMap<>(serversByDataCentre));
+    }
+  }
 
   /**
    * One kind of request.
