Refuse requests that were unread for longer than their clients wait

Change: the lateness of the tick tells for how long the loop was behind. A request that may have been unread for a third of its client's time is refused at once as not run, others count that time as passed, and sends that were put off come after the deadlines that are due.

--- a/cli/src/main/java/org/bambooarch/cli/explain/OutcomeDescriptions.java
+++ b/cli/src/main/java/org/bambooarch/cli/explain/OutcomeDescriptions.java
@@ -27,6 +27,9 @@
       case "no-room" -> noRoom(last);
       case "rejected" ->
           "server " + last.field("server") + " did not run it, and no other server was tried";
+      case "overloaded" ->
+          "the instance was %s ms behind, so the caller may have given the request up"
+              .formatted(last.field("lag-millis"));
       case "stopping" -> "the instance was stopping";
       case "timed-out" ->
           "no answer from server "
--- a/gateway/src/main/java/org/bambooarch/gateway/Gateway.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/Gateway.java
@@ -48,8 +48,6 @@
  */
 public final class Gateway implements AutoCloseable {
 
-  private static final long TICK_MILLIS = 100;
-
   /**
    * Time after the stop signal during which new requests are still accepted: clients may use a
    * cached directory response that names this instance until its time to live ends.
@@ -183,7 +181,8 @@
     peerSocket = PeerSocket.bind(state, settings.peerAddress(), loop);
     server.start().join();
     loop.execute(storeSynchronizer::start);
-    loop.scheduleWithFixedDelay(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    loop.scheduleWithFixedDelay(
+        this::tick, ControlState.TICK_MILLIS, ControlState.TICK_MILLIS, TimeUnit.MILLISECONDS);
     Logger.info(
         "event=started instance={} incarnation={} data-centre={} callers={}",
         settings.identity().name(),
--- a/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
@@ -47,6 +47,9 @@
    */
   private static final long KEEP_CLOSED_NANOS = 5_000_000_000L;
 
+  /** Time between two calls of {@link #tick()}. */
+  public static final long TICK_MILLIS = 100;
+
   /** Fraction of the fleet's retry slack that all instances together may accumulate. */
   private static final double RETRY_SLACK_FRACTION = 0.4;
 
@@ -227,7 +230,7 @@
     }
   }
 
-  /** Updates everything that depends on time. Called every 100 ms. */
+  /** Updates everything that depends on time. Called every {@link #TICK_MILLIS}. */
   public void tick() {
     long nowNanos = clock.monotonicNanos();
     List<Heartbeat> live = fleet.liveHeartbeats(nowNanos);
@@ -246,6 +249,15 @@
     lastTickNanos = nowNanos;
   }
 
+  /**
+   * Returns for how long the event loop has been behind its schedule, in nanoseconds: how late the
+   * next tick is already. What the loop reads now may have been waiting for that time.
+   */
+  public long eventLoopLagNanos() {
+    long sinceTickNanos = clock.monotonicNanos() - lastTickNanos;
+    return Math.max(0, sinceTickNanos - TICK_MILLIS * 1_000_000L);
+  }
+
   private Collection<String> services() {
     Set<String> names = new HashSet<>();
     servers.all().forEach(server -> names.add(server.entry().service()));
--- a/gateway/src/main/java/org/bambooarch/gateway/observability/RequestOutcome.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/observability/RequestOutcome.java
@@ -22,6 +22,8 @@
   NO_ROOM,
   /** Servers rejected the request or could not be reached, and no further attempt is permitted. */
   REJECTED,
+  /** The event loop was so far behind that the client may have given the request up. */
+  OVERLOADED,
   /** The instance is stopping and accepts no further requests. */
   STOPPING,
   /** The deadline of the request passed. */
--- a/gateway/src/main/java/org/bambooarch/gateway/request/ProxyExchange.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/ProxyExchange.java
@@ -94,12 +94,11 @@
     this.homeRegions = HomeRegions.of(route, customer);
     this.body = new ClientRequestBody(this, maxBodyBytes);
     this.log = new RequestLogger(context, clientHeaders, route, service, customer);
-    this.arrivedNanos = state.clock().monotonicNanos();
-    long timeoutMillis =
-        Math.min(
-            route.timeoutMillis(), clientHeaders.timeoutMillis().orElse(route.timeoutMillis()));
-    this.deadlineNanos = arrivedNanos + timeoutMillis * NANOS_PER_MILLI;
-    this.timeout = context.loop().schedule(this::onDeadline, timeoutMillis, TimeUnit.MILLISECONDS);
+    // The request may have been unread for as long as the event loop is behind.
+    this.arrivedNanos = state.clock().monotonicNanos() - state.eventLoopLagNanos();
+    this.deadlineNanos = arrivedNanos + clientHeaders.timeoutMillisOn(route) * NANOS_PER_MILLI;
+    this.timeout =
+        context.loop().schedule(this::onDeadline, remainingNanos(), TimeUnit.NANOSECONDS);
   }
 
   /** Returns the subscriber that must receive the body of the client's request. */
@@ -118,8 +117,9 @@
       refuse(RequestOutcome.CRASHES_SERVERS, 503, 0);
       return;
     }
-    // If the client has left meanwhile, the event loop processes that before it runs this task.
-    context.loop().execute(this::sendFirst);
+    // If the client has left or the deadline has passed meanwhile, the event loop processes that
+    // before it runs this task.
+    context.loop().schedule(this::sendFirst, 0, TimeUnit.NANOSECONDS);
   }
 
   private void sendFirst() {
--- a/gateway/src/main/java/org/bambooarch/gateway/request/ProxyService.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/ProxyService.java
@@ -40,6 +40,15 @@
   /** Random part on top of that hint, so that clients do not retry at the same time. */
   private static final long NO_CONFIGURATION_SPREAD_MILLIS = 150;
 
+  /**
+   * Part of the time that a client waits after which it gives up a request that was not read, as a
+   * divisor.
+   */
+  private static final long UNREAD_TIMEOUT_DIVISOR = 3;
+
+  /** Retry hint of an instance whose event loop is behind; it catches up within about that time. */
+  private static final long OVERLOADED_RETRY_MILLIS = 300;
+
   /** Retry hint of an instance that is stopping; clients then use another instance. */
   private static final long STOPPING_RETRY_MILLIS = 100;
 
@@ -112,6 +121,16 @@
     if (headers.contentLength() > maxBodyBytes) {
       return refuse(request, clientHeaders, RequestOutcome.TOO_LARGE, 413, 0);
     }
+    long lagMillis = context.state().eventLoopLagNanos() / 1_000_000L;
+    if (lagMillis * UNREAD_TIMEOUT_DIVISOR > clientHeaders.timeoutMillisOn(route.get())) {
+      return refuse(
+          request,
+          clientHeaders,
+          RequestOutcome.OVERLOADED,
+          503,
+          OVERLOADED_RETRY_MILLIS,
+          "lag-millis=" + lagMillis);
+    }
     if (requiresKey) {
       long nowNanos = context.state().clock().monotonicNanos();
       if (!context
@@ -187,7 +206,7 @@
       RequestOutcome outcome,
       int status,
       long retryAfterMillis,
-      String quotaDetails) {
+      String details) {
     context.metrics().onRequestFinished(outcome, 0);
     if (context.requestLog().tryAcquireLine(GatewayMetrics.labelOf(outcome))) {
       context
@@ -200,7 +219,7 @@
                       status,
                       pathOf(request.path()),
                       context.state().config().map(SteeringConfig::version).orElse(0L),
-                      quotaDetails));
+                      details));
     }
     ResponseHeaders refusal =
         context.requestFormat().refusalHeaders(status, retryAfterMillis, clientHeaders.requestId());
--- a/gateway/src/main/java/org/bambooarch/gateway/spi/ClientRequestHeaders.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/spi/ClientRequestHeaders.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.bambooarch.core.steering.config.ServiceRoute;
 
 /**
  * Control information from the headers of a client's request.
@@ -18,6 +19,11 @@
     Optional<String> apiKey,
     Optional<String> object) {
 
+  /** Returns how long the client waits for a response on a route, in milliseconds. */
+  public long timeoutMillisOn(ServiceRoute route) {
+    return Math.min(route.timeoutMillis(), timeoutMillis.orElse(route.timeoutMillis()));
+  }
+
   @Override
   public String toString() {
     return "ClientRequestHeaders[requestId=" + requestId + "]";
--- a/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnectionPool.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnectionPool.java
@@ -12,6 +12,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.concurrent.TimeUnit;
 import org.bambooarch.core.steering.place.ServerEntry;
 import org.bambooarch.core.time.Clock;
 import org.bambooarch.gateway.spi.RequestFormat;
@@ -118,9 +119,12 @@
                 return;
               }
               onConnected.run();
-              // If the client has left meanwhile, the event loop processes that before it runs this
-              // task.
-              loop.execute(() -> sendOverNew(newConnection, request, listener, handle));
+              // If the client has left or the deadline has passed meanwhile, the event loop
+              // processes that before it runs this task.
+              loop.schedule(
+                  () -> sendOverNew(newConnection, request, listener, handle),
+                  0,
+                  TimeUnit.NANOSECONDS);
             });
   }
 
