Log 3xx and 4xx answers, and what the HTTP server answers itself

Cause: a reported 3xx or 4xx of the system's own could not be told from three sides: a relayed answer without the servers' mark (answers were sampled), an answer of the HTTP server under the gateway (neither logged nor counted), or a refusal by configuration (logged).

Change: answers with a status from 300 on are logged like failures, with the missing mark as their cause; errors of the HTTP server have the lines request-unreadable and service-exception and a counter. No answer differs.

--- a/gateway/src/main/java/org/bambooarch/gateway/Gateway.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/Gateway.java
@@ -20,6 +20,7 @@
 import org.bambooarch.gateway.control.StoreSynchronizer;
 import org.bambooarch.gateway.endpoint.DirectoryFormat;
 import org.bambooarch.gateway.endpoint.DirectoryService;
+import org.bambooarch.gateway.endpoint.LoggingErrorHandler;
 import org.bambooarch.gateway.endpoint.PortRouter;
 import org.bambooarch.gateway.endpoint.RawRequestUri;
 import org.bambooarch.gateway.endpoint.ReadinessService;
@@ -140,6 +141,7 @@
         .requestTimeoutMillis(0)
         .idleTimeoutMillis(CLIENT_IDLE_TIMEOUT_MILLIS)
         .childChannelPipelineCustomizer(RawRequestUri::install)
+        .errorHandler(new LoggingErrorHandler(requestLog, metrics))
         .service("prefix:/", router)
         .build();
   }
--- a/gateway/src/main/java/org/bambooarch/gateway/observability/GatewayMetrics.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/observability/GatewayMetrics.java
@@ -33,6 +33,12 @@
           .name("bambooarch_sends")
           .help("Requests sent to servers, further sends included.")
           .register(registry);
+  private final Counter serverErrors =
+      Counter.builder()
+          .name("bambooarch_http_errors")
+          .help("Requests that the HTTP server answered itself, by status.")
+          .labelNames("status")
+          .register(registry);
   private final Histogram latency =
       Histogram.builder()
           .name("bambooarch_request_seconds")
@@ -63,6 +69,11 @@
     sends.inc();
   }
 
+  /** Counts a request that the HTTP server answered itself, before or instead of a service. */
+  public void onHttpError(int status) {
+    serverErrors.labelValues(Integer.toString(status)).inc();
+  }
+
   /** Returns the name of an outcome in logs and metric labels, for example {@code no-route}. */
   public static String labelOf(RequestOutcome outcome) {
     return outcome.name().toLowerCase(Locale.ROOT).replace('_', '-');
--- a/gateway/src/main/java/org/bambooarch/gateway/request/ProxyExchange.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/ProxyExchange.java
@@ -247,7 +247,8 @@
   void onResponseComplete() {
     retryDecider.onAnswered();
     state.crashes().onAnswered(requestHash);
-    finish(RequestOutcome.ANSWERED, attempt.relayResponse(), "");
+    String cause = attempt.isResponseGenuine() ? "" : "answer-not-genuine";
+    finish(RequestOutcome.ANSWERED, attempt.relayResponse(), cause);
   }
 
   /** Called when a response was truncated of which the client has a part already. */
--- a/gateway/src/main/java/org/bambooarch/gateway/request/RequestLogger.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/RequestLogger.java
@@ -16,6 +16,9 @@
 
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
+  /** Responses with a status below this one are sampled; the others are as rare as failures. */
+  private static final int MIN_LOGGED_STATUS = 300;
+
   private final GatewayContext context;
   private final ClientRequestHeaders clientHeaders;
   private final ServiceRoute route;
@@ -67,8 +70,8 @@
   }
 
   /**
-   * Logs how the request ended. Answered requests are sampled; all others are logged up to the rate
-   * limit of the log.
+   * Logs how the request ended. Requests answered with a success are sampled; all others are logged
+   * up to the rate limit of the log.
    *
    * @param status HTTP status of the response, or 0 if there is none or it was aborted
    * @param cause short reason for the log; empty if nothing failed
@@ -84,7 +87,7 @@
       int sends,
       long durationNanos) {
     boolean logged =
-        outcome == RequestOutcome.ANSWERED
+        outcome == RequestOutcome.ANSWERED && status < MIN_LOGGED_STATUS
             ? context.requestLog().shouldSampleAnswered()
             : context.requestLog().tryAcquireLine(GatewayMetrics.labelOf(outcome));
     if (logged) {
--- a/gateway/src/main/java/org/bambooarch/gateway/request/ServerAttempt.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/ServerAttempt.java
@@ -79,6 +79,11 @@
     return true;
   }
 
+  /** Returns whether the response that has arrived bears the servers' own mark. */
+  boolean isResponseGenuine() {
+    return responseHeaders.genuine();
+  }
+
   /** Relays the complete response of the server to the client; returns its HTTP status. */
   int relayResponse() {
     relay.onComplete();
