Refuse what an outdated configuration does not permit as not run

Cause: an instance refused with 401, 404 and 413 by the configuration that it had, however old, and clients take these as final, so they did not try the instances that knew the newer one.

Change: while the store cannot be watched, or a heartbeat tells that another instance applies a newer configuration, such a refusal is a 503 with a retry hint, which is true: nothing has run.

--- a/cli/src/main/java/org/bambooarch/cli/explain/OutcomeDescriptions.java
+++ b/cli/src/main/java/org/bambooarch/cli/explain/OutcomeDescriptions.java
@@ -18,6 +18,9 @@
           "server " + last.field("server") + " itself answered with " + last.field("status");
       case "no-configuration" ->
           "the instance had no configuration or no servers yet; see its started and store-lost";
+      case "configuration-outdated" ->
+          "version %s does not permit it (%s), but a newer one may; see store-lost and configured"
+              .formatted(last.field("config"), last.field("refused-as"));
       case "no-route" ->
           "no route for " + last.field("path") + " in version " + last.field("config");
       case "key-rejected" -> "no customer holds the key in version " + last.field("config");
--- a/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
@@ -64,6 +64,7 @@
   private final SmoothWeightedRoundRobin roundRobin = new SmoothWeightedRoundRobin();
   private final Set<String> listedClosed = new HashSet<>();
   private SteeringConfig config;
+  private boolean operatorListReachable = true;
   private boolean keepsClosed;
   private long keepClosedUntilNanos;
   private volatile boolean shuttingDown;
@@ -203,6 +204,25 @@
     }
   }
 
+  /**
+   * Records whether the store's last response about a list was a success, so that its changes are
+   * known.
+   */
+  public void onListReachable(Topic topic, boolean reachable) {
+    if (topic == Topic.OPERATOR) {
+      operatorListReachable = reachable;
+    }
+  }
+
+  /**
+   * Returns whether operators may have written a newer configuration than the one in force here:
+   * the store cannot be watched, or another instance already applies a newer one.
+   */
+  public boolean isConfigurationOutdated() {
+    long ownVersion = config == null ? 0 : config.version();
+    return !operatorListReachable || fleet.newestConfigVersion(clock.monotonicNanos()) > ownVersion;
+  }
+
   private void applyConfiguration(SteeringConfig newConfig) {
     if (config != null && newConfig.version() <= config.version()) {
       return;
--- a/gateway/src/main/java/org/bambooarch/gateway/control/ListWatcher.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ListWatcher.java
@@ -157,6 +157,7 @@
     retryDelayMillis = MIN_RETRY_DELAY_MILLIS;
     if (!storeReachable) {
       storeReachable = true;
+      state.onListReachable(topic, true);
       Logger.info("event=store-regained list={} version={}", topic, version);
       state.servers().onStoreReturned(state.clock().monotonicNanos());
     }
@@ -176,6 +177,7 @@
     }
     if (storeReachable) {
       storeReachable = false;
+      state.onListReachable(topic, false);
       Logger.warn(
           "event=store-lost list={} version={} reason=\"store call failed, retrying: {}\"",
           topic,
--- a/gateway/src/main/java/org/bambooarch/gateway/observability/RequestOutcome.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/observability/RequestOutcome.java
@@ -8,6 +8,11 @@
   SERVER_FAILURE,
   /** The instance does not have a configuration or the list of servers yet. */
   NO_CONFIGURATION,
+  /**
+   * The configuration in force does not permit the request, but operators may have written a newer
+   * one that does.
+   */
+  CONFIGURATION_OUTDATED,
   /** No route matches the host and path. */
   NO_ROUTE,
   /** The route needs an API key, and the request has none that belongs to a customer. */
--- a/gateway/src/main/java/org/bambooarch/gateway/request/ProxyService.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/ProxyService.java
@@ -32,8 +32,8 @@
 public final class ProxyService implements HttpService {
 
   /**
-   * Retry hint while the instance has no configuration or no list of servers: it reads both from
-   * the store in about 0.1 s.
+   * Retry hint while the instance has no configuration, an outdated one or no list of servers: it
+   * reads them from the store in about 0.1 s.
    */
   private static final long NO_CONFIGURATION_RETRY_MILLIS = 100;
 
@@ -109,17 +109,17 @@
     Optional<ServiceRoute> route =
         config.routeOf(Optional.ofNullable(headers.authority()).orElse(""), pathOf(headers.path()));
     if (route.isEmpty()) {
-      return refuse(request, clientHeaders, RequestOutcome.NO_ROUTE, 404, 0);
+      return refuseByConfiguration(request, clientHeaders, RequestOutcome.NO_ROUTE, 404);
     }
     Optional<CustomerPolicy> customer =
         clientHeaders.apiKey().flatMap(key -> config.customerOfKey(KeyDigest.of(key)));
     boolean requiresKey = config.requiresKeys() && !route.get().openToAll();
     if (requiresKey && customer.isEmpty()) {
-      return refuse(request, clientHeaders, RequestOutcome.KEY_REJECTED, 401, 0);
+      return refuseByConfiguration(request, clientHeaders, RequestOutcome.KEY_REJECTED, 401);
     }
     long maxBodyBytes = config.callerLimits().maxBodyBytes();
     if (headers.contentLength() > maxBodyBytes) {
-      return refuse(request, clientHeaders, RequestOutcome.TOO_LARGE, 413, 0);
+      return refuseByConfiguration(request, clientHeaders, RequestOutcome.TOO_LARGE, 413);
     }
     long lagMillis = context.state().eventLoopLagNanos() / 1_000_000L;
     if (lagMillis * UNREAD_TIMEOUT_DIVISOR > clientHeaders.timeoutMillisOn(route.get())) {
@@ -191,6 +191,24 @@
     return armeriaContext.log().ensureAvailable(RequestLogProperty.SESSION).channel();
   }
 
+  /**
+   * Refuses a request that the configuration in force does not permit. Clients take the status as
+   * final, so if the configuration may be outdated, they are told to try another instance instead.
+   */
+  private HttpResponse refuseByConfiguration(
+      HttpRequest request, ClientRequestHeaders clientHeaders, RequestOutcome outcome, int status) {
+    if (context.state().isConfigurationOutdated()) {
+      return refuse(
+          request,
+          clientHeaders,
+          RequestOutcome.CONFIGURATION_OUTDATED,
+          503,
+          noConfigurationRetryMillis(clientHeaders),
+          "refused-as=" + GatewayMetrics.labelOf(outcome));
+    }
+    return refuse(request, clientHeaders, outcome, status, 0);
+  }
+
   private HttpResponse refuse(
       HttpRequest request,
       ClientRequestHeaders clientHeaders,
--- /dev/null
+++ b/gateway/src/test/java/org/bambooarch/gateway/control/ControlStateTest.java
@@ -0,0 +1,65 @@
+package org.bambooarch.gateway.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import org.bambooarch.core.steering.config.CallerLimits;
+import org.bambooarch.core.steering.config.SteeringConfig;
+import org.bambooarch.core.steering.fleet.Heartbeat;
+import org.bambooarch.core.steering.fleet.InstanceIdentity;
+import org.bambooarch.core.time.ManualClock;
+import org.bambooarch.gateway.spi.ControlChange;
+import org.bambooarch.gateway.spi.ControlUpdate;
+import org.bambooarch.gateway.spi.Topic;
+import org.junit.jupiter.api.Test;
+
+class ControlStateTest {
+
+  private final ManualClock clock = ManualClock.startingAtZero();
+  private final ControlState state = new ControlState(ListWatcherTest.settings(), clock);
+
+  private static ControlUpdate configuration(long version) {
+    SteeringConfig config =
+        new SteeringConfig(
+            version,
+            List.of(),
+            List.of(),
+            List.of(),
+            new CallerLimits(16_384, 1 << 20, 3_000, 15_000));
+    return new ControlUpdate(0, version, List.of(new ControlChange.ConfigurationChanged(config)));
+  }
+
+  private static Heartbeat heartbeat(long configVersion) {
+    InstanceIdentity sender =
+        new InstanceIdentity("entry-2", 1, "north", "north-b", "10.0.0.2:1", "10.0.0.2:2");
+    return new Heartbeat(sender, true, configVersion, Map.of(), Map.of(), Map.of(), List.of());
+  }
+
+  // Regression: an instance that the store turned away refused keys that other instances knew.
+  @Test
+  void should_tell_that_its_configuration_is_outdated_while_another_instance_applies_a_newer_one() {
+    state.replaceList(Topic.OPERATOR, configuration(7));
+    state.onHeartbeat(heartbeat(7));
+    assertThat(state.isConfigurationOutdated()).isFalse();
+
+    state.onHeartbeat(heartbeat(8));
+    assertThat(state.isConfigurationOutdated()).isTrue();
+
+    state.applyChanges(configuration(8));
+    assertThat(state.isConfigurationOutdated()).isFalse();
+  }
+
+  @Test
+  void should_tell_that_its_configuration_is_outdated_while_the_store_cannot_be_watched() {
+    state.replaceList(Topic.OPERATOR, configuration(7));
+    state.onListReachable(Topic.SERVERS, false);
+    assertThat(state.isConfigurationOutdated()).isFalse();
+
+    state.onListReachable(Topic.OPERATOR, false);
+    assertThat(state.isConfigurationOutdated()).isTrue();
+
+    state.onListReachable(Topic.OPERATOR, true);
+    assertThat(state.isConfigurationOutdated()).isFalse();
+  }
+}
--- a/gateway/src/test/java/org/bambooarch/gateway/control/ListWatcherTest.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/control/ListWatcherTest.java
@@ -104,7 +104,7 @@
     return new ServerEntry(id, "shop", "10.0.0.1", 80, "north-a", 4, draining, 0, 1);
   }
 
-  private static GatewaySettings settings() {
+  static GatewaySettings settings() {
     InetSocketAddress any = new InetSocketAddress(0);
     return new GatewaySettings(
         new InstanceIdentity("entry-1", 1, "north", "north-a", "a:1", "a:2"),
