Forward targets that the HTTP server cannot normalize

Found by sending 50 forms of requests to the code before: 400 for a path or query with a bare percent sign, with dot segments or with %00, for a target in absolute form and for an offer of another protocol; 414 for a target of 20,000 bytes. None of them reached the gateway or had a log line.

Cause: Armeria normalizes the target before any service sees it, and refuses what it cannot normalize. It also takes part in upgrades.

Change: Armeria gets a placeholder as the target; the original one is restored in front of all services, and a target in absolute form names the host. Offers of other protocols are dropped, and the request line may be as long as the headers. What is neither a path nor an http URI is refused as before.

--- a/gateway/src/main/java/org/bambooarch/gateway/Gateway.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/Gateway.java
@@ -59,8 +59,9 @@
   private static final long STOP_MARGIN_MILLIS = 250;
 
   private static final long STOP_POLL_MILLIS = 50;
+
+  /** Largest size of a request line, and of all headers together. */
   private static final int MAX_HEADER_BYTES = 64 * 1024;
-  private static final int MAX_REQUEST_LINE_BYTES = 16 * 1024;
 
   /** Longer than clients keep idle connections, so that clients close them first. */
   private static final long CLIENT_IDLE_TIMEOUT_MILLIS = 60_000;
@@ -136,7 +137,7 @@
         .disableServerHeader()
         .disableDateHeader()
         .http1MaxHeaderSize(MAX_HEADER_BYTES)
-        .http1MaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
+        .http1MaxInitialLineLength(MAX_HEADER_BYTES)
         .maxRequestLength(0)
         .requestTimeoutMillis(0)
         .idleTimeoutMillis(CLIENT_IDLE_TIMEOUT_MILLIS)
--- a/gateway/src/main/java/org/bambooarch/gateway/endpoint/LoggingErrorHandler.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/endpoint/LoggingErrorHandler.java
@@ -32,7 +32,9 @@
   @Override
   public HttpResponse onServiceException(ServiceRequestContext context, Throwable cause) {
     if (log.tryAcquireLine(CAUSE)) {
-      log.write("event=service-exception path=%s cause=\"%s\"".formatted(context.path(), cause));
+      log.write(
+          "event=service-exception path=%s cause=\"%s\""
+              .formatted(pathOf(context.request().headers()), cause));
     }
     return armeriaHandler.onServiceException(context, cause);
   }
@@ -49,8 +51,12 @@
       log.write(
           "event=request-unreadable status=%d path=%s description=\"%s\" cause=\"%s\""
               .formatted(
-                  status.code(), headers == null ? "-" : headers.path(), description, cause));
+                  status.code(), headers == null ? "-" : pathOf(headers), description, cause));
     }
     return armeriaHandler.onProtocolViolation(config, headers, status, description, cause);
   }
+
+  private static String pathOf(RequestHeaders headers) {
+    return RawRequestUri.restore(headers).path();
+  }
 }
--- a/gateway/src/main/java/org/bambooarch/gateway/endpoint/PortRouter.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/endpoint/PortRouter.java
@@ -12,7 +12,10 @@
 import java.util.Set;
 import org.bambooarch.gateway.GatewaySettings;
 
-/** Routes each request to the service of the local port on which it arrived. */
+/**
+ * Routes each request, with the URI that the client sent, to the service of the local port on which
+ * it arrived.
+ */
 public final class PortRouter implements HttpService {
 
   private final Map<Integer, HttpService> servicesByPort;
@@ -28,7 +31,7 @@
     HttpService service = servicesByPort.get(local.getPort());
     return service == null
         ? HttpResponse.of(HttpStatus.NOT_FOUND)
-        : service.serve(context, request);
+        : service.serve(context, request.withHeaders(RawRequestUri.restore(request.headers())));
   }
 
   /** Returns the TCP addresses to listen on, in a fixed order and without duplicates. */
--- a/gateway/src/main/java/org/bambooarch/gateway/endpoint/RawRequestUri.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/endpoint/RawRequestUri.java
@@ -1,23 +1,35 @@
 package org.bambooarch.gateway.endpoint;
 
 import com.linecorp.armeria.common.RequestHeaders;
+import com.linecorp.armeria.common.RequestHeadersBuilder;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.CombinedChannelDuplexHandler;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpRequest;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /**
  * Preserves the path and query of a request as the client sent them.
  *
- * <p>Armeria normalizes both before a service sees them, for example {@code %7e} to {@code ~}.
- * Servers must get what the client sent, so a Netty handler between Armeria's HTTP codec and its
- * request decoder copies the original URI into an internal header, which {@link #restore} removes.
+ * <p>Armeria normalizes both before a service sees them, for example {@code %7e} to {@code ~}, and
+ * refuses what it cannot normalize, for example {@code %zz}. Servers must get what the client sent,
+ * so a Netty handler between Armeria's HTTP codec and its request decoder moves the original URI
+ * into an internal header and leaves a placeholder, which {@link #restore} reverts.
+ *
+ * <p>The handler also drops offers to switch to another protocol, all of which are declined.
  */
 public final class RawRequestUri {
 
   private static final String RAW_URI_HEADER = "x-bambooarch-raw-target";
+  private static final String PLACEHOLDER_URI = "/";
+
+  /** A URI in absolute form, as clients send it to proxies: authority, then path and query. */
+  private static final Pattern ABSOLUTE_URI =
+      Pattern.compile("https?://([^/?#]+)(.*)", Pattern.CASE_INSENSITIVE);
 
   /**
    * Number of first bytes by which Armeria detects HTTP/1 or HTTP/2 and then builds the pipeline.
@@ -33,15 +45,23 @@
 
   /**
    * Returns the headers with the path and query that the client sent, and without the internal
-   * header. The normalized path stays if the original URI does not begin with a slash.
+   * header. The authority of a URI in absolute form replaces that of the host header.
    */
   public static RequestHeaders restore(RequestHeaders headers) {
     String rawUri = headers.get(RAW_URI_HEADER);
     if (rawUri == null) {
       return headers;
     }
-    var restored = headers.toBuilder().removeAndThen(RAW_URI_HEADER);
-    return rawUri.startsWith("/") ? restored.path(rawUri).build() : restored.build();
+    RequestHeadersBuilder restored = headers.toBuilder().removeAndThen(RAW_URI_HEADER);
+    Matcher absolute = ABSOLUTE_URI.matcher(rawUri);
+    if (!absolute.matches()) {
+      return restored.path(rawUri).build();
+    }
+    String pathAndQuery = absolute.group(2);
+    return restored
+        .authority(absolute.group(1))
+        .path(pathAndQuery.startsWith("/") ? pathAndQuery : "/" + pathAndQuery)
+        .build();
   }
 
   /**
@@ -78,15 +98,25 @@
     }
   }
 
-  /** Copies the URI of each request into the internal header. */
+  /** Moves the URI of each request into the internal header. */
   private static final class UriRecorder extends ChannelInboundHandlerAdapter {
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
       if (message instanceof HttpRequest request) {
-        request.headers().set(RAW_URI_HEADER, request.uri());
+        record(request);
       }
       context.fireChannelRead(message);
     }
+
+    private static void record(HttpRequest request) {
+      request.headers().remove(RAW_URI_HEADER).remove(HttpHeaderNames.UPGRADE);
+      String uri = request.uri();
+      // Armeria refuses any other URI.
+      if (uri.startsWith("/") || ABSOLUTE_URI.matcher(uri).matches()) {
+        request.headers().set(RAW_URI_HEADER, uri);
+        request.setUri(PLACEHOLDER_URI);
+      }
+    }
   }
 }
--- a/gateway/src/main/java/org/bambooarch/gateway/request/ProxyService.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/ProxyService.java
@@ -18,7 +18,6 @@
 import org.bambooarch.core.steering.config.SteeringConfig;
 import org.bambooarch.core.steering.hash.Hashes;
 import org.bambooarch.gateway.control.ControlState;
-import org.bambooarch.gateway.endpoint.RawRequestUri;
 import org.bambooarch.gateway.observability.GatewayMetrics;
 import org.bambooarch.gateway.observability.RequestOutcome;
 import org.bambooarch.gateway.spi.ClientRequestHeaders;
@@ -75,10 +74,9 @@
   }
 
   @Override
-  public HttpResponse serve(ServiceRequestContext armeriaContext, HttpRequest normalized) {
-    RequestHeaders headers = RawRequestUri.restore(normalized.headers());
-    HttpRequest request = normalized.withHeaders(headers);
-    ClientRequestHeaders clientHeaders = context.requestFormat().readClientRequest(headers);
+  public HttpResponse serve(ServiceRequestContext armeriaContext, HttpRequest request) {
+    ClientRequestHeaders clientHeaders =
+        context.requestFormat().readClientRequest(request.headers());
     ControlState state = context.state();
     if (refusingNewRequests) {
       return refuse(request, clientHeaders, RequestOutcome.STOPPING, 503, STOPPING_RETRY_MILLIS);
