Relay no response that lacks the servers' mark

It is a hole found by reading.

Cause: the mark was asked for only where a response told success. A 3xx or 4xx of something else at a server's address reached the caller as an answer of this system, and a 503 or 429 as its promise that an order had not run. A long response without the mark was streamed before the check.

Change: a response without the mark counts as a lost one, whatever its status: a read is tried elsewhere, an order ends with 502. The warm-up's own server has no mark, so the warm-up reads its responses with one.

--- a/gateway/src/main/java/org/bambooarch/gateway/request/ProxyExchange.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/ProxyExchange.java
@@ -247,8 +247,7 @@
   void onResponseComplete() {
     retryDecider.onAnswered();
     state.crashes().onAnswered(requestHash);
-    String cause = attempt.isResponseGenuine() ? "" : "answer-not-genuine";
-    finish(RequestOutcome.ANSWERED, attempt.relayResponse(), cause);
+    finish(RequestOutcome.ANSWERED, attempt.relayResponse(), "");
   }
 
   /** Called when a response was truncated of which the client has a part already. */
--- a/gateway/src/main/java/org/bambooarch/gateway/request/ServerAttempt.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/ServerAttempt.java
@@ -79,11 +79,6 @@
     return true;
   }
 
-  /** Returns whether the response that has arrived bears the servers' own mark. */
-  boolean isResponseGenuine() {
-    return responseHeaders.genuine();
-  }
-
   /** Relays the complete response of the server to the client; returns its HTTP status. */
   int relayResponse() {
     relay.onComplete();
@@ -111,6 +106,9 @@
       HttpResponse newResponseHead, ServerResponseHeaders newResponseHeaders) {
     responseHead = newResponseHead;
     responseHeaders = newResponseHeaders;
+    if (!responseHeaders.genuine()) {
+      return;
+    }
     relay =
         new BufferedResponseRelay(
             writer,
@@ -144,14 +142,14 @@
     }
     int status = responseHead.status().code();
     boolean failure = status >= 500;
-    server.onAnswered(nowNanos - sentNanos, failure);
-    if (!failure) {
-      state.chooser().onServed(query, server, loadBefore, nowNanos - sentNanos, nowNanos);
-    }
-    if (status < 300 && !responseHeaders.genuine()) {
+    server.onAnswered(nowNanos - sentNanos, failure || !responseHeaders.genuine());
+    if (!responseHeaders.genuine()) {
       exchange.onAttemptFailed(AttemptResult.LOST, "answer-not-genuine");
       return;
     }
+    if (!failure) {
+      state.chooser().onServed(query, server, loadBefore, nowNanos - sentNanos, nowNanos);
+    }
     if (failure) {
       exchange.onAttemptFailed(AttemptResult.FAILED, "server-failure");
       return;
--- a/gateway/src/main/java/org/bambooarch/gateway/warmup/WarmUp.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/warmup/WarmUp.java
@@ -98,7 +98,7 @@
     Gateway gateway =
         new Gateway(
             settings(ports),
-            requestFormat,
+            new WarmUpFormat(requestFormat),
             directoryFormat,
             new WarmUpStore(server.activeLocalPort()),
             eventLoops,
@@ -146,7 +146,6 @@
     return answered;
   }
 
-  /** Responds with 404, since only successful responses must carry the servers' own mark. */
   private static HttpResponse notFound(HttpRequest request) {
     return HttpResponse.of(
         request
