Close idle connections to servers as soon as any bytes arrive

Callers could see: a response that began with the stray bytes of an earlier exchange is unreadable, so that an order that has run ends with 502.

Cause: TargetConnection saw only what the HTTP decoder made of the bytes. The decoder keeps a beginning without a line end, and skips control characters, so that an idle connection stayed in the pool after bytes had arrived on it, against its Javadoc.

Change: a handler before the decoder asks the connection whether it accepts bytes, and an idle one closes itself. A new connection on which bytes arrive before its request is sent counts as unreachable; no test plays this last case.

--- a/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnection.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnection.java
@@ -77,6 +77,11 @@
     return channel.isActive() && reusable && idleNanos < Math.min(maxIdleNanos, keepAliveNanos);
   }
 
+  /** Returns whether a request can be sent, which bytes that came before it prevent. */
+  boolean isOpen() {
+    return channel.isActive() && reusable;
+  }
+
   /** Prevents further requests on this connection. */
   void markNotReusable() {
     reusable = false;
@@ -139,6 +144,19 @@
     channel.config().setAutoRead(read);
   }
 
+  /**
+   * Returns whether bytes that have arrived may be decoded. If not, because no request is in
+   * progress, closes the connection.
+   */
+  boolean acceptsBytes() {
+    if (readState == ReadState.IDLE) {
+      pool.onUnsolicitedResponse();
+      close();
+      return false;
+    }
+    return true;
+  }
+
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
     try {
--- a/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnectionPool.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnectionPool.java
@@ -103,6 +103,7 @@
                   protected void initChannel(Channel channel) {
                     channel
                         .pipeline()
+                        .addLast(new ReceivedBytesFilter(newConnection))
                         .addLast(
                             new HttpClientCodec(
                                 MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
@@ -137,6 +138,10 @@
       newConnection.close();
       return;
     }
+    if (!newConnection.isOpen()) {
+      handle.onConnectFailed(listener, false);
+      return;
+    }
     handle.onConnectionReady(newConnection);
     newConnection.send(request, listener);
   }
