Bound the bytes that are skipped before a response to 1 MiB

Callers saw: 504 only at the deadline while a server sent informational responses or responses to other requests without end; all of it was read and decoded on the event loop until then.

Cause: TargetConnection skipped such responses without a limit.

Change: the connection counts the bytes that arrive before the head of the response, and above 1 MiB closes itself; the request counts as lost, so that an order gets 502 at once and a read is tried at another server. A response to another request that is longer than that ends the connection too.

--- a/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnection.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnection.java
@@ -31,6 +31,9 @@
  */
 public final class TargetConnection extends ChannelDuplexHandler {
 
+  /** Most bytes that are skipped before the response to a request begins. */
+  private static final long MAX_SKIPPED_BYTES = 1024 * 1024;
+
   private enum ReadState {
     IDLE,
     HEAD,
@@ -48,6 +51,7 @@
   private boolean connectionFailed;
   private boolean reusable = true;
   private boolean requestComplete;
+  private long bytesBeforeResponse;
   private long idleSinceNanos;
   private long keepAliveNanos;
 
@@ -95,6 +99,7 @@
     requestId = request.requestId();
     requestComplete = request.body().isPresent();
     readState = ReadState.HEAD;
+    bytesBeforeResponse = 0;
     listener.onSending();
     channel.writeAndFlush(request.toHttp(), channel.voidPromise());
   }
@@ -145,16 +150,31 @@
   }
 
   /**
-   * Returns whether bytes that have arrived may be decoded. If not, because no request is in
-   * progress, closes the connection.
+   * Returns whether bytes that have arrived may be decoded. If not, closes the connection: the
+   * bytes arrived while no request is in progress, or too many arrived before the response to the
+   * request.
    */
-  boolean acceptsBytes() {
-    if (readState == ReadState.IDLE) {
-      pool.onUnsolicitedResponse();
-      close();
-      return false;
+  boolean acceptsBytes(int count) {
+    switch (readState) {
+      case IDLE -> {
+        pool.onUnsolicitedResponse();
+        close();
+        return false;
+      }
+      case HEAD, SKIPPED_RESPONSE -> {
+        bytesBeforeResponse += count;
+        if (bytesBeforeResponse > MAX_SKIPPED_BYTES) {
+          failRequest("the server sent too many bytes that do not belong to the response");
+          close();
+          return false;
+        }
+        return true;
+      }
+      // BODY
+      default -> {
+        return true;
+      }
     }
-    return true;
   }
 
   @Override
