Record a request once when its started response is aborted

Operators saw: two request-finished lines for one request, caller-left and then timed-out or lost, both counted in the metrics, and load=-1 of the server. Each such request lowered the server's count of requests by one too many, so that a server in trouble seemed to have more room.

Cause: aborting a response closes the client's connection while the call is still running, and the exchange, not marked as finished yet, took this for a client that had left.

Change: the exchange finishes before it aborts the response.

Evidence: the two tests should_record_a_request_once_* of EndlessResponseTest failed before (outcome caller-left on the page of metrics) and pass.

--- a/gateway/src/main/java/org/bambooarch/gateway/request/ProxyExchange.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/ProxyExchange.java
@@ -254,6 +254,7 @@
   void onResponseTruncated() {
     retryDecider.onAnswered();
     finish(RequestOutcome.LOST, 0, "broke-off");
+    attempt.abortResponse();
   }
 
   /** Called when the connection to the server was lost before any of its response was relayed. */
@@ -311,8 +312,9 @@
       return;
     }
     cancelServerRequest();
-    if (attempt != null && attempt.abortStartedResponse()) {
+    if (attempt != null && attempt.hasStartedResponse()) {
       finish(RequestOutcome.TIMED_OUT, 0, "broke-off");
+      attempt.abortResponse();
       return;
     }
     refuse(RequestOutcome.TIMED_OUT, retryDecider.mayHaveRun() ? 504 : 503, 0);
--- a/gateway/src/main/java/org/bambooarch/gateway/request/ServerAttempt.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/ServerAttempt.java
@@ -70,13 +70,17 @@
     return sentNanos;
   }
 
-  /** Aborts the response to the client if it has been started; returns whether it was. */
-  boolean abortStartedResponse() {
-    if (relay == null || !relay.hasStarted()) {
-      return false;
-    }
+  /** Returns whether a part of the response has been written to the client already. */
+  boolean hasStartedResponse() {
+    return relay != null && relay.hasStarted();
+  }
+
+  /**
+   * Aborts the started response to the client. The exchange must have finished before, since the
+   * end of the client's connection is reported to it while this method runs.
+   */
+  void abortResponse() {
     relay.abort();
-    return true;
   }
 
   /** Relays the complete response of the server to the client; returns its HTTP status. */
@@ -172,7 +176,7 @@
     long nowNanos = state.clock().monotonicNanos();
     server.onRequestEnded();
     server.onLost(nowNanos);
-    if (abortStartedResponse()) {
+    if (hasStartedResponse()) {
       exchange.onResponseTruncated();
       return;
     }
