Say which socket option decides when a silent connection is closed

Cause: the Javadoc said that two unanswered keep-alive probes close a connection. On Linux TCP_USER_TIMEOUT decides this where it is set, and it is set to 2 s on these connections.

Evidence: getsockopt on a running gateway with epoll (a trial, not committed). To servers and to the store: SO_KEEPALIVE on, TCP_KEEPIDLE 1, TCP_KEEPINTVL 1, TCP_KEEPCNT 2, TCP_USER_TIMEOUT 2000. Accepted from clients: SO_KEEPALIVE off, TCP_USER_TIMEOUT 65000, which Armeria sets to the idle timeout of 60 s and 5 s more. That the timeout overrides the number of probes is from tcp(7); no packets were dropped to see it.

Change: words only.

--- a/gateway/src/main/java/org/bambooarch/gateway/target/NettyTransport.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/target/NettyTransport.java
@@ -22,13 +22,19 @@
  */
 public final class NettyTransport {
 
-  /** Time for which sent bytes may stay unacknowledged before the connection is closed: 2 s. */
+  /**
+   * Time for which sent bytes or keep-alive probes may stay unacknowledged before the connection is
+   * closed: 2 s. On Linux it decides this for probes as well, whatever their number.
+   */
   private static final int USER_TIMEOUT_MILLIS = 2_000;
 
   /** Idle time before the first keep-alive probe, and between probes: 1 s each. */
   private static final int KEEPALIVE_PROBE_SECONDS = 1;
 
-  /** Number of unanswered keep-alive probes after which a connection is closed. */
+  /**
+   * Number of unanswered keep-alive probes after which a connection is closed. Not in force while
+   * {@link #USER_TIMEOUT_MILLIS} is set.
+   */
   private static final int KEEPALIVE_PROBES = 2;
 
   private NettyTransport() {}
@@ -52,9 +58,10 @@
   }
 
   /**
-   * Returns the options of TCP connections. They disable Nagle's algorithm and close a connection
-   * whose other end no longer responds. The times of the probes apply with epoll only; NIO uses
-   * those of the operating system.
+   * Returns the options of TCP connections that this process opens, to servers and to the store.
+   * Connections that it accepts have those of the HTTP server. The options disable Nagle's
+   * algorithm and close a connection whose other end no longer responds. The times of the probes
+   * apply with epoll only; NIO uses those of the operating system.
    */
   public static Map<ChannelOption<?>, Object> socketOptions() {
     Map<ChannelOption<?>, Object> options = new LinkedHashMap<>();
