--- a/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnection.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnection.java
@@ -31,6 +31,9 @@
  */
 public final class TargetConnection extends ChannelDuplexHandler {
 
+  /** Most bytes that are skipped before the response to a request begins. */
+  private static final long MAX_SKIPPED_BYTES = 1024 * 1024;
+
   private enum ReadState {
     IDLE,
     HEAD,
@@ -48,6 +51,7 @@
   private boolean connectionFailed;
   private boolean reusable = true;
   private boolean requestComplete;
+  private long bytesBeforeResponse;
   private long idleSinceNanos;
   private long keepAliveNanos;
 
@@ -77,6 +81,11 @@
     return channel.isActive() && reusable && idleNanos < Math.min(maxIdleNanos, keepAliveNanos);
   }
 
+  /** Returns whether a request can be sent, which bytes that came before it prevent. */
+  boolean isOpen() {
+    return channel.isActive() && reusable;
+  }
+
   /** Prevents further requests on this connection. */
   void markNotReusable() {
     reusable = false;
@@ -90,6 +99,7 @@
     requestId = request.requestId();
     requestComplete = request.body().isPresent();
     readState = ReadState.HEAD;
+    bytesBeforeResponse = 0;
     listener.onSending();
     channel.writeAndFlush(request.toHttp(), channel.voidPromise());
   }
@@ -139,6 +149,34 @@
     channel.config().setAutoRead(read);
   }
 
+  /**
+   * Returns whether bytes that have arrived may be decoded. If not, closes the connection: the
+   * bytes arrived while no request is in progress, or too many arrived before the response to the
+   * request.
+   */
+  boolean acceptsBytes(int count) {
+    switch (readState) {
+      case IDLE -> {
+        pool.onUnsolicitedResponse();
+        close();
+        return false;
+      }
+      case HEAD, SKIPPED_RESPONSE -> {
+        bytesBeforeResponse += count;
+        if (bytesBeforeResponse > MAX_SKIPPED_BYTES) {
+          failRequest("the server sent too many bytes that do not belong to the response");
+          close();
+          return false;
+        }
+        return true;
+      }
+      // BODY
+      default -> {
+        return true;
+      }
+    }
+  }
+
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
     try {
