--- a/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
@@ -15,6 +15,7 @@
 import org.bambooarch.core.steering.fleet.CustomerRateLimiter;
 import org.bambooarch.core.steering.fleet.FleetTable;
 import org.bambooarch.core.steering.fleet.Heartbeat;
+import org.bambooarch.core.steering.fleet.InstanceIdentity;
 import org.bambooarch.core.steering.fleet.ServiceRetryBudgets;
 import org.bambooarch.core.steering.place.ColdServerOwners;
 import org.bambooarch.core.steering.place.ServerChooser;
@@ -307,6 +308,25 @@
     return !shuttingDown && config != null && servers.isLoaded();
   }
 
+  /**
+   * Returns whether this instance is partitioned from all servers, so that requests can only be
+   * served through another instance.
+   */
+  public boolean isPartitionedFromServers() {
+    return false;
+  }
+
+  /**
+   * Returns an instance through which requests can be forwarded while this one is partitioned from
+   * all servers; empty if there is none.
+   *
+   * @param homeRegions the only regions that may serve the request; empty for all
+   * @param hash hash of the request, by which one of several instances is chosen
+   */
+  public Optional<InstanceIdentity> relayInstance(Set<String> homeRegions, long hash) {
+    return Optional.empty();
+  }
+
   /** Returns the configuration in force; empty until the first one is read. */
   public Optional<SteeringConfig> config() {
     return Optional.ofNullable(config);
