Detect a partition from all servers, and keep such instances out of look-ups

Cause: an instance ejected servers one by one and never drew the conclusion that it reaches none; heartbeats said only that it takes callers.

ServerTable ends ejections for failed connections when a partition begins or ends. Heartbeat has the verdict, InstanceDirectory names partitioned instances only if there is no other, and RelayChoice chooses an instance through which requests can be forwarded.

--- a/core/src/main/java/org/bambooarch/core/steering/fleet/Heartbeat.java
+++ b/core/src/main/java/org/bambooarch/core/steering/fleet/Heartbeat.java
@@ -8,6 +8,7 @@
  *
  * @param sender the instance that reports
  * @param takesCallers whether look-ups may send callers to it
+ * @param partitionedFromServers whether it is partitioned from all servers
  * @param configVersion version of the configuration that it applies
  * @param customerDemand requests per second that callers send it, by a hash of the customer's name
  * @param customerAdmitted requests that it admitted in the last window of the customers' limits, by
@@ -18,6 +19,7 @@
 public record Heartbeat(
     InstanceIdentity sender,
     boolean takesCallers,
+    boolean partitionedFromServers,
     long configVersion,
     Map<Integer, Double> customerDemand,
     Map<Integer, Integer> customerAdmitted,
--- a/core/src/main/java/org/bambooarch/core/steering/fleet/InstanceDirectory.java
+++ b/core/src/main/java/org/bambooarch/core/steering/fleet/InstanceDirectory.java
@@ -8,7 +8,8 @@
  *
  * <p>A caller gets the instances of its own data centre, because traffic between data centres is
  * charged for; if none is live there, those of its region, and otherwise those of any region. Only
- * instances whose heartbeats arrive are named, and none that is about to stop.
+ * instances whose heartbeats arrive are named, and none that is about to stop. Instances that are
+ * partitioned from all servers are named only if all that take callers are.
  */
 public final class InstanceDirectory {
 
@@ -22,21 +23,29 @@
    *
    * @param fleet this instance and the others
    * @param selfTakesCallers whether this instance takes callers
+   * @param selfPartitioned whether this instance is partitioned from all servers
    * @param region region of the caller
    * @param dataCentre data centre of the caller
    * @param nowNanos monotonic time, in nanoseconds
    */
   public static List<String> addresses(
-      FleetTable fleet, boolean selfTakesCallers, String region, String dataCentre, long nowNanos) {
-    List<InstanceIdentity> taking = new ArrayList<>();
+      FleetTable fleet,
+      boolean selfTakesCallers,
+      boolean selfPartitioned,
+      String region,
+      String dataCentre,
+      long nowNanos) {
+    List<InstanceIdentity> reaching = new ArrayList<>();
+    List<InstanceIdentity> partitioned = new ArrayList<>();
     if (selfTakesCallers) {
-      taking.add(fleet.self());
+      (selfPartitioned ? partitioned : reaching).add(fleet.self());
     }
     for (Heartbeat heartbeat : fleet.liveHeartbeats(nowNanos)) {
       if (heartbeat.takesCallers()) {
-        taking.add(heartbeat.sender());
+        (heartbeat.partitionedFromServers() ? partitioned : reaching).add(heartbeat.sender());
       }
     }
+    List<InstanceIdentity> taking = reaching.isEmpty() ? partitioned : reaching;
     List<String> near = addressesOf(taking, i -> i.dataCentre().equals(dataCentre));
     if (!near.isEmpty()) {
       return near;
--- /dev/null
+++ b/core/src/main/java/org/bambooarch/core/steering/fleet/RelayChoice.java
@@ -0,0 +1,54 @@
+package org.bambooarch.core.steering.fleet;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.bambooarch.core.steering.hash.Hashes;
+
+/**
+ * Chooses the instance through which an instance that is partitioned from all servers forwards a
+ * request.
+ *
+ * <p>Instances of the own region come first. Rendezvous hashing spreads the requests over all
+ * instances that come into question, and keeps the requests of one hash at one of them.
+ */
+public final class RelayChoice {
+
+  private RelayChoice() {}
+
+  /**
+   * Returns the instance to use; empty if there is none.
+   *
+   * @param heartbeats newest heartbeat of each other instance that is live
+   * @param region region of the partitioned instance
+   * @param homeRegions the only regions that may serve the request; empty for all
+   * @param hash hash of the request
+   */
+  public static Optional<InstanceIdentity> choose(
+      List<Heartbeat> heartbeats, String region, Set<String> homeRegions, long hash) {
+    List<InstanceIdentity> usable =
+        heartbeats.stream()
+            .filter(Heartbeat::takesCallers)
+            .filter(heartbeat -> !heartbeat.partitionedFromServers())
+            .map(Heartbeat::sender)
+            .toList();
+    List<InstanceIdentity> near =
+        usable.stream().filter(instance -> instance.region().equals(region)).toList();
+    if (!near.isEmpty()) {
+      return highestRanked(near, hash);
+    }
+    List<InstanceIdentity> elsewhere =
+        usable.stream()
+            .filter(i -> homeRegions.isEmpty() || homeRegions.contains(i.region()))
+            .toList();
+    return highestRanked(elsewhere, hash);
+  }
+
+  private static Optional<InstanceIdentity> highestRanked(
+      List<InstanceIdentity> instances, long hash) {
+    return instances.stream()
+        .max(
+            Comparator.comparingLong(instance -> Hashes.combine(hash, Hashes.of(instance.name()))));
+  }
+}
--- a/core/src/main/java/org/bambooarch/core/steering/place/ServerState.java
+++ b/core/src/main/java/org/bambooarch/core/steering/place/ServerState.java
@@ -45,6 +45,8 @@
   private long fullUntilNanos;
   private long coldUntilNanos;
   private boolean connectionRefused;
+  private boolean ejectedForConnection;
+  private boolean partitioned;
   private double coldTokens;
   private long coldRefilledNanos;
 
@@ -186,8 +188,11 @@
 
   /** Records that a request got no response, or no complete one. */
   public void onLost(long nowNanos) {
+    if (partitioned) {
+      return;
+    }
     recordOutcome(true);
-    ejectIfFailing(nowNanos);
+    ejectedForConnection |= ejectIfFailing(nowNanos);
   }
 
   /**
@@ -196,8 +201,26 @@
    * @param refused whether it refused the connection, so that it is down
    */
   public void onUnreachable(boolean refused, long nowNanos) {
+    if (partitioned) {
+      return;
+    }
     connectionRefused |= refused;
     eject(nowNanos);
+    ejectedForConnection = true;
+  }
+
+  /**
+   * Records that this instance is partitioned from all servers, or no longer is; ends an ejection
+   * for failed or lost connections.
+   */
+  void onPartitionChanged(boolean nowPartitioned, long nowNanos) {
+    partitioned = nowPartitioned;
+    if (ejectedForConnection) {
+      ejectedUntilNanos = nowNanos;
+      ejections = 0;
+      ejectedForConnection = false;
+      connectionRefused = false;
+    }
   }
 
   /**
@@ -224,17 +247,20 @@
     }
   }
 
-  private void ejectIfFailing(long nowNanos) {
-    if (failureRate > EJECTION_FAILURE_RATE) {
-      failureRate = EJECTION_FAILURE_RATE / 2;
-      eject(nowNanos);
+  private boolean ejectIfFailing(long nowNanos) {
+    if (failureRate <= EJECTION_FAILURE_RATE) {
+      return false;
     }
+    failureRate = EJECTION_FAILURE_RATE / 2;
+    eject(nowNanos);
+    return true;
   }
 
   private void eject(long nowNanos) {
     long ejectionNanos = MIN_EJECTION_NANOS << Math.min(ejections, 3);
     ejections++;
     ejectedUntilNanos = nowNanos + Math.min(ejectionNanos, MAX_EJECTION_NANOS);
+    ejectedForConnection = false;
   }
 
   /** Returns the score by which rendezvous hashing ranks this server for an object. */
--- a/core/src/main/java/org/bambooarch/core/steering/place/ServerTable.java
+++ b/core/src/main/java/org/bambooarch/core/steering/place/ServerTable.java
@@ -46,6 +46,7 @@
   private long graceEndNanos;
   private boolean graceStarted;
   private boolean loaded;
+  private boolean partitioned;
 
   /** Creates an empty table; servers in a data centre that the map lacks get an empty region. */
   public ServerTable(Map<String, String> regionByDataCentre) {
@@ -109,7 +110,7 @@
       server.assumeCold(
           loaded ? Math.max(coldStartMillis, entry.coldLeftMillis()) : entry.coldLeftMillis(),
           nowNanos);
-      add(server);
+      add(server, nowNanos);
       return;
     }
     boolean restarted = existing.entry().startWallMillis() != entry.startWallMillis();
@@ -119,13 +120,14 @@
     boolean moved = !existing.entry().service().equals(entry.service());
     if (moved) {
       drop(entry.id());
-      add(new ServerState(entry, region, nowNanos));
+      add(new ServerState(entry, region, nowNanos), nowNanos);
       return;
     }
     existing.update(entry, region, nowNanos);
   }
 
-  private void add(ServerState server) {
+  private void add(ServerState server, long nowNanos) {
+    server.onPartitionChanged(partitioned, nowNanos);
     servers.put(server.entry().id(), server);
     serversByService.computeIfAbsent(server.entry().service(), s -> new ArrayList<>()).add(server);
   }
@@ -226,6 +228,21 @@
     return servers.values();
   }
 
+  /** Returns the servers of all services that may get requests. */
+  List<ServerState> usableServers() {
+    return servers.values().stream().filter(this::isAvailable).toList();
+  }
+
+  /**
+   * Records that this instance is partitioned from all servers, or no longer is. Until the end of
+   * the partition failed connections say nothing about a server; servers that are ejected for them
+   * may get requests at once, both when a partition begins and when it ends.
+   */
+  public void onPartitionChanged(boolean partitioned, long nowNanos) {
+    this.partitioned = partitioned;
+    servers.values().forEach(server -> server.onPartitionChanged(partitioned, nowNanos));
+  }
+
   /** Returns the servers of a service that may get requests. */
   List<ServerState> availableServers(String service) {
     List<ServerState> available = new ArrayList<>();
--- a/core/src/test/java/org/bambooarch/core/steering/fleet/InstanceDirectoryTest.java
+++ b/core/src/test/java/org/bambooarch/core/steering/fleet/InstanceDirectoryTest.java
@@ -17,13 +17,25 @@
   }
 
   private void receiveHeartbeat(InstanceIdentity sender, boolean takesCallers, long atMillis) {
+    receiveHeartbeat(sender, takesCallers, false, atMillis);
+  }
+
+  private void receiveHeartbeat(
+      InstanceIdentity sender, boolean takesCallers, boolean partitioned, long atMillis) {
     fleet.onHeartbeat(
-        new Heartbeat(sender, takesCallers, 1, Map.of(), Map.of(), Map.of(), List.of()),
+        new Heartbeat(
+            sender, takesCallers, partitioned, 1, Map.of(), Map.of(), Map.of(), List.of()),
         atMillis * NANOS_PER_MILLI);
   }
 
   private List<String> addresses(boolean self, String region, String dataCentre, long atMillis) {
-    return InstanceDirectory.addresses(fleet, self, region, dataCentre, atMillis * NANOS_PER_MILLI);
+    return addresses(self, false, region, dataCentre, atMillis);
+  }
+
+  private List<String> addresses(
+      boolean self, boolean selfPartitioned, String region, String dataCentre, long atMillis) {
+    return InstanceDirectory.addresses(
+        fleet, self, selfPartitioned, region, dataCentre, atMillis * NANOS_PER_MILLI);
   }
 
   @Test
@@ -53,4 +65,24 @@
     assertThat(addresses(true, "north", "north-a", 501)).containsExactly("self:80");
     assertThat(addresses(false, "north", "north-a", 501)).isEmpty();
   }
+
+  // Incident bluemahoe-codes: look-ups named instances that had lost their paths to all servers.
+  @Test
+  void should_not_name_an_instance_when_it_is_partitioned_from_all_servers() {
+    receiveHeartbeat(instance("cut", "north", "north-a"), true, true, 0);
+    receiveHeartbeat(instance("far", "south", "south-a"), true, 0);
+
+    assertThat(addresses(true, "north", "north-a", 1)).containsExactly("self:80");
+    assertThat(addresses(true, true, "north", "north-a", 1)).containsExactly("far:80");
+    assertThat(addresses(false, "north", "north-a", 1)).containsExactly("far:80");
+  }
+
+  @Test
+  void should_name_instances_as_before_when_all_that_take_callers_are_partitioned() {
+    receiveHeartbeat(instance("cut", "north", "north-b"), true, true, 0);
+    receiveHeartbeat(instance("starting", "north", "north-a"), false, 0);
+
+    assertThat(addresses(true, true, "north", "north-a", 1)).containsExactly("self:80");
+    assertThat(addresses(true, true, "north", "north-b", 1)).containsExactly("cut:80");
+  }
 }
--- a/core/src/test/java/org/bambooarch/core/steering/fleet/SimulatedFleet.java
+++ b/core/src/test/java/org/bambooarch/core/steering/fleet/SimulatedFleet.java
@@ -94,6 +94,7 @@
           new Heartbeat(
               tables.get(from).self(),
               from != leaving,
+              false,
               1,
               limiters.get(from).demandByCustomerHash(),
               limiters.get(from).reportAdmitted(nowNanos()),
--- a/core/src/test/java/org/bambooarch/core/steering/place/ServerChooserTest.java
+++ b/core/src/test/java/org/bambooarch/core/steering/place/ServerChooserTest.java
@@ -301,6 +301,6 @@
   }
 
   private static Heartbeat heartbeatOf(InstanceIdentity identity) {
-    return new Heartbeat(identity, true, 1, Map.of(), Map.of(), Map.of(), List.of());
+    return new Heartbeat(identity, true, false, 1, Map.of(), Map.of(), Map.of(), List.of());
   }
 }
--- a/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
@@ -16,10 +16,12 @@
 import org.bambooarch.core.steering.fleet.FleetTable;
 import org.bambooarch.core.steering.fleet.Heartbeat;
 import org.bambooarch.core.steering.fleet.InstanceIdentity;
+import org.bambooarch.core.steering.fleet.RelayChoice;
 import org.bambooarch.core.steering.fleet.ServiceRetryBudgets;
 import org.bambooarch.core.steering.place.ColdServerOwners;
 import org.bambooarch.core.steering.place.ServerChooser;
 import org.bambooarch.core.steering.place.ServerEntry;
+import org.bambooarch.core.steering.place.ServerReachability;
 import org.bambooarch.core.steering.place.ServerState;
 import org.bambooarch.core.steering.place.ServerTable;
 import org.bambooarch.core.time.Clock;
@@ -57,6 +59,7 @@
   private final Clock clock;
   private final FleetTable fleet;
   private final ServerTable servers;
+  private final ServerReachability reachability;
   private final ServerChooser chooser;
   private final ColdServerOwners coldOwners;
   private final CustomerRateLimiter rateLimiter;
@@ -75,6 +78,7 @@
     this.clock = clock;
     this.fleet = new FleetTable(settings.identity());
     this.servers = new ServerTable(settings.regionByDataCentre());
+    this.reachability = new ServerReachability(servers);
     this.coldOwners = new ColdServerOwners(settings.identity());
     this.chooser = new ServerChooser(servers, settings.identity().region(), coldOwners);
     this.rateLimiter = new CustomerRateLimiter(fleet, settings.quotaTolerance());
@@ -283,6 +287,7 @@
     return new Heartbeat(
         fleet.self(),
         isReady(),
+        isPartitionedFromServers(),
         config == null ? 0 : config.version(),
         rateLimiter.demandByCustomerHash(),
         rateLimiter.reportAdmitted(clock.monotonicNanos()),
@@ -313,7 +318,7 @@
    * served through another instance.
    */
   public boolean isPartitionedFromServers() {
-    return false;
+    return reachability.isPartitioned();
   }
 
   /**
@@ -324,7 +329,8 @@
    * @param hash hash of the request, by which one of several instances is chosen
    */
   public Optional<InstanceIdentity> relayInstance(Set<String> homeRegions, long hash) {
-    return Optional.empty();
+    return RelayChoice.choose(
+        fleet.liveHeartbeats(clock.monotonicNanos()), fleet.self().region(), homeRegions, hash);
   }
 
   /** Returns the configuration in force; empty until the first one is read. */
@@ -342,6 +348,11 @@
     return servers;
   }
 
+  /** Returns what is known of whether servers can be reached. */
+  public ServerReachability reachability() {
+    return reachability;
+  }
+
   /** Returns the component that chooses a server for each request. */
   public ServerChooser chooser() {
     return chooser;
--- a/gateway/src/main/java/org/bambooarch/gateway/endpoint/DirectoryService.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/endpoint/DirectoryService.java
@@ -42,6 +42,7 @@
         InstanceDirectory.addresses(
             state.fleet(),
             state.isReady(),
+            state.isPartitionedFromServers(),
             lookup.get().region(),
             lookup.get().dataCentre(),
             state.clock().monotonicNanos());
--- a/peer/src/main/java/org/bambooarch/peer/codec/HeartbeatCodec.java
+++ b/peer/src/main/java/org/bambooarch/peer/codec/HeartbeatCodec.java
@@ -95,6 +95,7 @@
     return new Heartbeat(
         sender,
         message.getTakesCallers(),
+        false,
         message.getConfigVersion(),
         demand,
         admitted,
