Notice that no server can be reached, and say so

Cause: failed connections were counted per server only, each after 0.8 s.

Change: the pools report new, failed and slow connections and data to PartitionMonitor. A failed connection, one that is not open after 0.3 s, or three requests at two servers without data for 0.4 s start probes of 0.4 s, which stay as idle connections when they open. A failure that the event loop processed over 0.2 s late, or that was a cancellation, is no evidence. On the verdict idle connections are closed; on each change heartbeats go out at once, servers ejected for connections are usable again, and a line is logged. The gauge bambooarch_partitioned_from_servers shows the state.

--- a/gateway/src/main/java/org/bambooarch/gateway/Gateway.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/Gateway.java
@@ -30,6 +30,7 @@
 import org.bambooarch.gateway.request.ProxyService;
 import org.bambooarch.gateway.spi.ControlStore;
 import org.bambooarch.gateway.spi.RequestFormat;
+import org.bambooarch.gateway.target.PartitionMonitor;
 import org.bambooarch.gateway.target.TargetHttpClient;
 import org.tinylog.Logger;
 
@@ -69,6 +70,7 @@
   private final EventLoop loop;
   private final ControlState state;
   private final StoreSynchronizer storeSynchronizer;
+  private final PartitionMonitor partitionMonitor;
   private final TargetHttpClient targetClient;
   private final ProxyService proxyService;
   private final GatewayMetrics metrics = new GatewayMetrics();
@@ -102,7 +104,10 @@
     this.loop = (EventLoop) eventLoops.next();
     this.state = new ControlState(settings, clock);
     this.storeSynchronizer = new StoreSynchronizer(store, state, loop, random);
-    this.targetClient = new TargetHttpClient(requestFormat, loop, clock);
+    this.partitionMonitor =
+        new PartitionMonitor(
+            state.reachability(), state.servers(), clock, this::onPartitionVerdictChanged);
+    this.targetClient = new TargetHttpClient(requestFormat, loop, clock, partitionMonitor);
     this.requestLog =
         new RequestEventLog(AsyncLineWriter.standardOutput(), settings.identity().name(), clock);
     this.proxyService =
@@ -166,6 +171,10 @@
         "bambooarch_live_instances",
         "Instances whose heartbeats arrive, this one included.",
         () -> state.fleet().liveHeartbeats(clock.monotonicNanos()).size() + 1);
+    metrics.registerGauge(
+        "bambooarch_partitioned_from_servers",
+        "1 while no server can be reached, otherwise 0.",
+        () -> state.isPartitionedFromServers() ? 1.0 : 0.0);
     metrics.registerGauge(
         "bambooarch_log_lines_dropped",
         "Log lines that found no room.",
@@ -196,10 +205,10 @@
       state.tick();
       requestLog.tick();
       targetClient.retainOnly(state.servers());
+      partitionMonitor.tick().forEach(targetClient::probe);
       long nowNanos = clock.monotonicNanos();
       if (nowNanos - lastHeartbeatNanos >= FleetTable.HEARTBEAT_NANOS) {
-        lastHeartbeatNanos = nowNanos;
-        peerSocket.sendHeartbeats();
+        sendHeartbeats(nowNanos);
       }
     } catch (RuntimeException e) {
       // An exception from a fixed-delay task would cancel all its further runs.
@@ -208,6 +217,19 @@
     }
   }
 
+  private void sendHeartbeats(long nowNanos) {
+    lastHeartbeatNanos = nowNanos;
+    peerSocket.sendHeartbeats();
+  }
+
+  private void onPartitionVerdictChanged() {
+    if (state.isPartitionedFromServers()) {
+      // They may be as dead as the connections that failed.
+      targetClient.closeIdle();
+    }
+    sendHeartbeats(clock.monotonicNanos());
+  }
+
   /**
    * Stops without aborting requests that are in flight, unless the stop grace period ends first.
    *
--- a/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnection.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnection.java
@@ -77,6 +77,11 @@
     return channel.isActive() && reusable && idleNanos < Math.min(maxIdleNanos, keepAliveNanos);
   }
 
+  /** Starts the idle time of a connection that was opened without a request. */
+  void markIdle() {
+    idleSinceNanos = clock.monotonicNanos();
+  }
+
   /** Prevents further requests on this connection. */
   void markNotReusable() {
     reusable = false;
@@ -141,6 +146,7 @@
 
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
+    pool.onRead();
     try {
       if (message instanceof HttpObject object) {
         onObject(object);
--- a/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnectionPool.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnectionPool.java
@@ -39,6 +39,15 @@
    */
   private static final long NEW_CONNECTIONS_ONLY_NANOS = 10_000_000_000L;
 
+  /** Time after which a connection that is not open yet is reported as slow: 0.3 s. */
+  private static final long SLOW_CONNECT_MILLIS = 300;
+
+  /**
+   * Delay of the event loop above which a connection that timed out is no evidence, in nanoseconds:
+   * 0.2 s. The connection may have been opened and not been processed yet.
+   */
+  private static final long MAX_LAG_NANOS = 200_000_000L;
+
   private static final int MAX_IDLE_CONNECTIONS = 8;
   private static final int MAX_INITIAL_LINE_BYTES = 8 * 1024;
   private static final int MAX_HEADER_BYTES = 64 * 1024;
@@ -50,6 +59,8 @@
   private final Clock clock;
   private final Deque<TargetConnection> idleConnections = new ArrayDeque<>();
   private final RequestFormat format;
+  private final ConnectionObserver observer;
+  private final int connectTimeoutMillis;
   private boolean sawUnsolicitedResponse;
   private long newConnectionsOnlyUntilNanos;
 
@@ -58,16 +69,15 @@
       RequestFormat format,
       EventLoop loop,
       Clock clock,
-      int connectTimeoutMillis) {
+      int connectTimeoutMillis,
+      ConnectionObserver observer) {
     this.server = server;
     this.format = format;
     this.loop = loop;
     this.clock = clock;
-    this.bootstrap =
-        new Bootstrap()
-            .group(loop)
-            .channel(NettyTransport.socketChannelType())
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis);
+    this.connectTimeoutMillis = connectTimeoutMillis;
+    this.observer = observer;
+    this.bootstrap = new Bootstrap().group(loop).channel(NettyTransport.socketChannelType());
     NettyTransport.socketOptions().forEach(this::option);
   }
 
@@ -94,31 +104,22 @@
     }
     TargetConnection newConnection = new TargetConnection(this, format, clock);
     newConnection.keepAliveNanos(MAX_IDLE_IDEMPOTENT_NANOS);
-    ChannelFuture connecting =
-        bootstrap
-            .clone()
-            .handler(
-                new ChannelInitializer<Channel>() {
-                  @Override
-                  protected void initChannel(Channel channel) {
-                    channel
-                        .pipeline()
-                        .addLast(
-                            new HttpClientCodec(
-                                MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
-                        .addLast(newConnection);
-                  }
-                })
-            .connect(new InetSocketAddress(server.host(), server.port()));
+    long startNanos = clock.monotonicNanos();
+    ChannelFuture connecting = connect(newConnection, connectTimeoutMillis);
     handle.onConnecting(connecting);
+    loop.schedule(() -> reportIfPending(connecting), SLOW_CONNECT_MILLIS, TimeUnit.MILLISECONDS);
     connecting.addListener(
         (ChannelFutureListener)
             future -> {
               if (!future.isSuccess()) {
+                if (isEvidence(future, startNanos, connectTimeoutMillis)) {
+                  observer.onConnectFailed(server);
+                }
                 handle.onConnectFailed(listener, isConnectionRefused(future.cause()));
                 return;
               }
               onConnected.run();
+              observer.onConnected(server);
               // If the client has left or the deadline has passed meanwhile, the event loop
               // processes that before it runs this task.
               loop.schedule(
@@ -128,6 +129,61 @@
             });
   }
 
+  /**
+   * Opens a connection that stays idle until a request uses it.
+   *
+   * @param timeoutMillis time limit for opening it, in milliseconds
+   * @param onConnected called when it is open
+   */
+  void probe(int timeoutMillis, Runnable onConnected) {
+    TargetConnection newConnection = new TargetConnection(this, format, clock);
+    newConnection.keepAliveNanos(MAX_IDLE_IDEMPOTENT_NANOS);
+    long startNanos = clock.monotonicNanos();
+    connect(newConnection, timeoutMillis)
+        .addListener(
+            (ChannelFutureListener)
+                future -> {
+                  if (future.isSuccess()) {
+                    onConnected.run();
+                    observer.onConnected(server);
+                    newConnection.markIdle();
+                    release(newConnection, true);
+                  } else if (isEvidence(future, startNanos, timeoutMillis)) {
+                    observer.onProbeFailed(server);
+                  }
+                });
+  }
+
+  private void reportIfPending(ChannelFuture connecting) {
+    if (!connecting.isDone()) {
+      observer.onConnectSlow();
+    }
+  }
+
+  private boolean isEvidence(ChannelFuture failed, long startNanos, int timeoutMillis) {
+    long latestNanos = timeoutMillis * 1_000_000L + MAX_LAG_NANOS;
+    return !failed.isCancelled() && clock.monotonicNanos() - startNanos < latestNanos;
+  }
+
+  private ChannelFuture connect(TargetConnection newConnection, int timeoutMillis) {
+    return bootstrap
+        .clone()
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMillis)
+        .handler(
+            new ChannelInitializer<Channel>() {
+              @Override
+              protected void initChannel(Channel channel) {
+                channel
+                    .pipeline()
+                    .addLast(
+                        new HttpClientCodec(
+                            MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+                    .addLast(newConnection);
+              }
+            })
+        .connect(new InetSocketAddress(server.host(), server.port()));
+  }
+
   private static void sendOverNew(
       TargetConnection newConnection,
       TargetRequest request,
@@ -180,6 +236,11 @@
     idleConnections.remove(connection);
   }
 
+  /** Called when data arrived on a connection. */
+  void onRead() {
+    observer.onRead();
+  }
+
   /** Called when a response arrived that belongs to no request in progress. */
   void onUnsolicitedResponse() {
     sawUnsolicitedResponse = true;
--- a/gateway/src/main/java/org/bambooarch/gateway/target/TargetHttpClient.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/target/TargetHttpClient.java
@@ -19,19 +19,32 @@
   /** Time limit for opening a connection; after it, the request is tried on another server. */
   private static final int CONNECT_TIMEOUT_MILLIS = 800;
 
+  /** Time limit for opening a connection as a probe. */
+  private static final int PROBE_TIMEOUT_MILLIS = 400;
+
   /** Time for which a server counts as cold if it accepts a connection after it refused one. */
   private static final long COLD_START_MILLIS = 3_000;
 
   private final RequestFormat format;
   private final EventLoop loop;
   private final Clock clock;
+  private final ConnectionObserver observer;
   private final Map<String, TargetConnectionPool> pools = new HashMap<>();
 
-  /** Creates a client without connections; all of its connections use the given event loop. */
-  public TargetHttpClient(RequestFormat format, EventLoop loop, Clock clock) {
+  /**
+   * Creates a client without connections.
+   *
+   * @param format header format of requests and responses
+   * @param loop the event loop that all connections use
+   * @param clock source of monotonic time
+   * @param observer receives what all connections say about whether servers can be reached
+   */
+  public TargetHttpClient(
+      RequestFormat format, EventLoop loop, Clock clock, ConnectionObserver observer) {
     this.format = format;
     this.loop = loop;
     this.clock = clock;
+    this.observer = observer;
   }
 
   /**
@@ -43,18 +56,26 @@
   public TargetRequestHandle send(
       ServerState server, TargetRequest request, TargetResponseListener listener) {
     TargetRequestHandle handle = new TargetRequestHandle();
-    pools
-        .computeIfAbsent(server.entry().id(), id -> newPool(server))
-        .send(
-            request,
-            listener,
-            handle,
-            () -> server.onConnected(COLD_START_MILLIS, clock.monotonicNanos()));
+    pool(server).send(request, listener, handle, () -> onConnected(server));
     return handle;
   }
 
+  /** Opens a connection to a server and keeps it as an idle one; the observer gets the result. */
+  public void probe(ServerState server) {
+    pool(server).probe(PROBE_TIMEOUT_MILLIS, () -> onConnected(server));
+  }
+
+  private TargetConnectionPool pool(ServerState server) {
+    return pools.computeIfAbsent(server.entry().id(), id -> newPool(server));
+  }
+
+  private void onConnected(ServerState server) {
+    server.onConnected(COLD_START_MILLIS, clock.monotonicNanos());
+  }
+
   private TargetConnectionPool newPool(ServerState server) {
-    return new TargetConnectionPool(server.entry(), format, loop, clock, CONNECT_TIMEOUT_MILLIS);
+    return new TargetConnectionPool(
+        server.entry(), format, loop, clock, CONNECT_TIMEOUT_MILLIS, observer);
   }
 
   /** Closes the idle connections to servers that are not in the given table any more. */
@@ -69,6 +90,11 @@
     }
   }
 
+  /** Closes all idle connections; requests in progress go on, and new ones may be sent. */
+  public void closeIdle() {
+    pools.values().forEach(TargetConnectionPool::close);
+  }
+
   /** Closes all idle connections; requests in progress go on. */
   public void close() {
     pools.values().forEach(TargetConnectionPool::close);
