--- a/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
@@ -15,10 +15,13 @@
 import org.bambooarch.core.steering.fleet.CustomerRateLimiter;
 import org.bambooarch.core.steering.fleet.FleetTable;
 import org.bambooarch.core.steering.fleet.Heartbeat;
+import org.bambooarch.core.steering.fleet.InstanceIdentity;
+import org.bambooarch.core.steering.fleet.RelayChoice;
 import org.bambooarch.core.steering.fleet.ServiceRetryBudgets;
 import org.bambooarch.core.steering.place.ColdServerOwners;
 import org.bambooarch.core.steering.place.ServerChooser;
 import org.bambooarch.core.steering.place.ServerEntry;
+import org.bambooarch.core.steering.place.ServerReachability;
 import org.bambooarch.core.steering.place.ServerState;
 import org.bambooarch.core.steering.place.ServerTable;
 import org.bambooarch.core.time.Clock;
@@ -56,6 +59,7 @@
   private final Clock clock;
   private final FleetTable fleet;
   private final ServerTable servers;
+  private final ServerReachability reachability;
   private final ServerChooser chooser;
   private final ColdServerOwners coldOwners;
   private final CustomerRateLimiter rateLimiter;
@@ -75,6 +79,7 @@
     this.clock = clock;
     this.fleet = new FleetTable(settings.identity());
     this.servers = new ServerTable(settings.regionByDataCentre());
+    this.reachability = new ServerReachability(servers);
     this.coldOwners = new ColdServerOwners(settings.identity());
     this.chooser = new ServerChooser(servers, settings.identity().region(), coldOwners);
     this.rateLimiter = new CustomerRateLimiter(fleet, settings.quotaTolerance());
@@ -302,6 +307,7 @@
     return new Heartbeat(
         fleet.self(),
         isReady(),
+        isPartitionedFromServers(),
         config == null ? 0 : config.version(),
         rateLimiter.demandByCustomerHash(),
         rateLimiter.reportAdmitted(clock.monotonicNanos()),
@@ -327,6 +333,26 @@
     return !shuttingDown && config != null && servers.isLoaded();
   }
 
+  /**
+   * Returns whether this instance is partitioned from all servers, so that requests can only be
+   * served through another instance.
+   */
+  public boolean isPartitionedFromServers() {
+    return reachability.isPartitioned();
+  }
+
+  /**
+   * Returns an instance through which requests can be forwarded while this one is partitioned from
+   * all servers; empty if there is none.
+   *
+   * @param homeRegions the only regions that may serve the request; empty for all
+   * @param hash hash of the request, by which one of several instances is chosen
+   */
+  public Optional<InstanceIdentity> relayInstance(Set<String> homeRegions, long hash) {
+    return RelayChoice.choose(
+        fleet.liveHeartbeats(clock.monotonicNanos()), fleet.self().region(), homeRegions, hash);
+  }
+
   /** Returns the configuration in force; empty until the first one is read. */
   public Optional<SteeringConfig> config() {
     return Optional.ofNullable(config);
@@ -342,6 +368,11 @@
     return servers;
   }
 
+  /** Returns what is known of whether servers can be reached. */
+  public ServerReachability reachability() {
+    return reachability;
+  }
+
   /** Returns the component that chooses a server for each request. */
   public ServerChooser chooser() {
     return chooser;
--- a/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnection.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnection.java
@@ -86,6 +86,11 @@
     return channel.isActive() && reusable;
   }
 
+  /** Starts the idle time of a connection that was opened without a request. */
+  void markIdle() {
+    idleSinceNanos = clock.monotonicNanos();
+  }
+
   /** Prevents further requests on this connection. */
   void markNotReusable() {
     reusable = false;
@@ -179,6 +184,7 @@
 
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
+    pool.onRead();
     try {
       if (message instanceof HttpObject object) {
         onObject(object);
