Tell other instances of a partition from all servers

What callers saw: look-ups answered by other instances went on naming an instance that had lost its paths to all servers.

Cause: the heartbeat had no field for the verdict.

HeartbeatCodecTest: the case with a partitioned sender did not decode to what was encoded before.

--- a/peer/src/main/java/org/bambooarch/peer/codec/HeartbeatCodec.java
+++ b/peer/src/main/java/org/bambooarch/peer/codec/HeartbeatCodec.java
@@ -35,6 +35,7 @@
             .setCallersAddress(sender.callersAddress())
             .setPeersAddress(sender.peersAddress())
             .setTakesCallers(heartbeat.takesCallers())
+            .setPartitionedFromServers(heartbeat.partitionedFromServers())
             .setConfigVersion(heartbeat.configVersion());
     Set<Integer> customers = new TreeSet<>(heartbeat.customerDemand().keySet());
     customers.addAll(heartbeat.customerAdmitted().keySet());
@@ -95,7 +96,7 @@
     return new Heartbeat(
         sender,
         message.getTakesCallers(),
-        false,
+        message.getPartitionedFromServers(),
         message.getConfigVersion(),
         demand,
         admitted,
