Keep a request whose streamed body is used up from being sent again

A request that goes through another instance may end as not sent after its body was streamed to that instance. RetryDecider sent a request again after such an ending whether or not its body was kept, which was right only as long as not sent meant that no byte had left this instance. The ending now needs the whole request, as the others do; otherwise the request is refused as not run.

ServerTable.findAvailable and ServerState.onNotReachedByRelay are for the same use.

--- a/core/src/main/java/org/bambooarch/core/steering/RetryDecider.java
+++ b/core/src/main/java/org/bambooarch/core/steering/RetryDecider.java
@@ -25,7 +25,7 @@
 
   /** How an attempt to have a server run the request ended. */
   public enum AttemptResult {
-    /** No byte of the request left this instance. */
+    /** No byte of the request reached a server. */
     NOT_SENT,
     /** The server reported that it did not run the request. */
     NOT_RUN,
@@ -106,7 +106,7 @@
     inProgress = false;
     countFirstSend(result);
     return switch (result) {
-      case NOT_SENT -> afterNotSent(timeForAnother);
+      case NOT_SENT -> afterNotSent(timeForAnother && requestKept);
       case NOT_RUN -> afterNotRun(timeForAnother && requestKept);
       case FAILED -> afterRun(timeForAnother && requestKept, Step.PASS_FAILURE_ON);
       case LOST -> afterRun(timeForAnother && requestKept, Step.OUTCOME_UNKNOWN);
@@ -127,9 +127,9 @@
     }
   }
 
-  private Step afterNotSent(boolean timeForAnother) {
+  private Step afterNotSent(boolean mayRepeat) {
     unreachable++;
-    if (timeForAnother && unreachable < MAX_UNREACHABLE) {
+    if (mayRepeat && unreachable < MAX_UNREACHABLE) {
       return Step.SEND_ELSEWHERE;
     }
     return stepIfNoServerLeft();
--- a/core/src/main/java/org/bambooarch/core/steering/place/ServerState.java
+++ b/core/src/main/java/org/bambooarch/core/steering/place/ServerState.java
@@ -200,6 +200,11 @@
     eject(nowNanos);
   }
 
+  /** Ejects the server because another instance, as relay, could or would not reach it either. */
+  public void onNotReachedByRelay(long nowNanos) {
+    eject(nowNanos);
+  }
+
   /**
    * Records an opened connection. A server that refused connections before has just started, and
    * counts as cold.
--- a/core/src/main/java/org/bambooarch/core/steering/place/ServerTable.java
+++ b/core/src/main/java/org/bambooarch/core/steering/place/ServerTable.java
@@ -226,6 +226,11 @@
     return servers.values();
   }
 
+  /** Returns the server with this name if it may get requests, or empty. */
+  public Optional<ServerState> findAvailable(String id) {
+    return find(id).filter(this::isAvailable);
+  }
+
   /** Returns the servers of a service that may get requests. */
   List<ServerState> availableServers(String service) {
     List<ServerState> available = new ArrayList<>();
--- a/core/src/test/java/org/bambooarch/core/steering/RetryDeciderTest.java
+++ b/core/src/test/java/org/bambooarch/core/steering/RetryDeciderTest.java
@@ -104,4 +104,15 @@
     }
     assertThat(retries).isBetween(100, 200);
   }
+
+  // Guards against a body that was streamed to a relay instance and is sent again without its
+  // beginning.
+  @Test
+  void should_refuse_as_not_run_when_nothing_was_sent_but_the_streamed_body_is_used_up() {
+    RetryDecider decider = decider(true, 2);
+    decider.onSending();
+
+    assertThat(decider.onAttemptEnded(AttemptResult.NOT_SENT, true, false))
+        .isEqualTo(Step.REFUSE_NOT_RUN);
+  }
 }
--- a/core/src/test/java/org/bambooarch/core/steering/place/ServerTableTest.java
+++ b/core/src/test/java/org/bambooarch/core/steering/place/ServerTableTest.java
@@ -115,4 +115,16 @@
     server.onConnected(3_000, 1_000 * NANOS_PER_MILLI);
     assertThat(isCold(1_100)).isTrue();
   }
+
+  @Test
+  void should_find_no_available_server_when_it_is_unknown_draining_or_in_a_closed_data_centre() {
+    assertThat(table.findAvailable("a")).isEmpty();
+    table.replaceAll(List.of(entry(false, 0, 1)), 3_000, 0);
+    assertThat(table.findAvailable("a")).isPresent();
+    table.evacuate("north-a");
+    assertThat(table.findAvailable("a")).isEmpty();
+    table.reopen("north-a", 0, 0);
+    table.put(entry(true, 0, 1), 3_000, 1);
+    assertThat(table.findAvailable("a")).isEmpty();
+  }
 }
