Forward requests through another instance during a partition from all servers

Cause: the only way to a server was a connection of the instance that took the request.

Change: while RelaySelector says that the instance is partitioned, each attempt goes to the relay port of another instance (TCP at the address of its heartbeats), with the head for the server and an internal header that names the server. RelayService there forwards it if the server is available in its own table, and passes the server's response on as it is; it chooses no other server and never repeats. Its own responses carry an internal header: not sent, or lost. Internal headers are dropped from all that goes to clients and servers. Without an instance to go through, a request is refused at once as not run (partitioned). A stop waits for relayed requests too.

The loss of the connection to the other instance is no crash of the server, so it does not enter the crash history.

--- a/gateway/src/main/java/org/bambooarch/gateway/Gateway.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/Gateway.java
@@ -12,11 +12,13 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import java.util.random.RandomGenerator;
 import org.bambooarch.core.steering.fleet.FleetTable;
 import org.bambooarch.core.time.Clock;
 import org.bambooarch.gateway.control.ControlState;
 import org.bambooarch.gateway.control.PeerSocket;
+import org.bambooarch.gateway.control.RelaySelector;
 import org.bambooarch.gateway.control.StoreSynchronizer;
 import org.bambooarch.gateway.endpoint.DirectoryFormat;
 import org.bambooarch.gateway.endpoint.DirectoryService;
@@ -26,6 +28,7 @@
 import org.bambooarch.gateway.observability.AsyncLineWriter;
 import org.bambooarch.gateway.observability.GatewayMetrics;
 import org.bambooarch.gateway.observability.RequestEventLog;
+import org.bambooarch.gateway.relay.RelayService;
 import org.bambooarch.gateway.request.GatewayContext;
 import org.bambooarch.gateway.request.ProxyService;
 import org.bambooarch.gateway.spi.ControlStore;
@@ -71,6 +74,7 @@
   private final StoreSynchronizer storeSynchronizer;
   private final TargetHttpClient targetClient;
   private final ProxyService proxyService;
+  private final RelayService relayService;
   private final GatewayMetrics metrics = new GatewayMetrics();
   private final RequestEventLog requestLog;
   private final Server server;
@@ -97,6 +101,25 @@
       EventLoopGroup eventLoops,
       Clock clock,
       RandomGenerator random) {
+    this(
+        settings, requestFormat, directoryFormat, store, eventLoops, clock, random, state -> state);
+  }
+
+  /**
+   * Creates an instance as the other constructor does, with another way to tell when requests must
+   * go through another instance.
+   *
+   * @param relaySelectorOf returns the selector for the instance's state
+   */
+  public Gateway(
+      GatewaySettings settings,
+      RequestFormat requestFormat,
+      DirectoryFormat directoryFormat,
+      ControlStore store,
+      EventLoopGroup eventLoops,
+      Clock clock,
+      RandomGenerator random,
+      Function<ControlState, RelaySelector> relaySelectorOf) {
     this.settings = settings;
     this.clock = clock;
     this.loop = (EventLoop) eventLoops.next();
@@ -105,10 +128,18 @@
     this.targetClient = new TargetHttpClient(requestFormat, loop, clock);
     this.requestLog =
         new RequestEventLog(AsyncLineWriter.standardOutput(), settings.identity().name(), clock);
-    this.proxyService =
-        new ProxyService(
-            new GatewayContext(
-                state, targetClient, requestFormat, loop, metrics, requestLog, random));
+    GatewayContext context =
+        new GatewayContext(
+            state,
+            relaySelectorOf.apply(state),
+            targetClient,
+            requestFormat,
+            loop,
+            metrics,
+            requestLog,
+            random);
+    this.proxyService = new ProxyService(context);
+    this.relayService = new RelayService(context);
     this.server = server(directoryFormat, eventLoops);
     this.lastHeartbeatNanos = clock.monotonicNanos();
     registerGauges();
@@ -125,7 +156,9 @@
                 settings.directoryAddress().getPort(),
                 new DirectoryService(state, directoryFormat, settings.lookupTtlMillis()),
                 settings.metricsAddress().getPort(),
-                (context, request) -> metricsPage()));
+                (context, request) -> metricsPage(),
+                settings.peerAddress().getPort(),
+                relayService));
     ServerBuilder builder = Server.builder();
     for (InetSocketAddress address : router.addresses(settings)) {
       builder.http(address);
@@ -232,19 +265,19 @@
     if (state.isShuttingDown()) {
       return;
     }
-    Logger.info("event=stopping in-flight={}", proxyService.inFlight());
+    Logger.info("event=stopping in-flight={}", inFlight());
     state.beginShutdown();
     peerSocket.sendHeartbeats();
     storeSynchronizer.stop();
     long stopStartNanos = clock.monotonicNanos();
-    loop.schedule(proxyService::refuseNewRequests, ACCEPT_AFTER_STOP_MILLIS, TimeUnit.MILLISECONDS);
+    loop.schedule(this::refuseNewRequests, ACCEPT_AFTER_STOP_MILLIS, TimeUnit.MILLISECONDS);
     long maxStopMillis = settings.graceMillis() - STOP_MARGIN_MILLIS;
     loop.scheduleWithFixedDelay(
         () -> {
           long elapsedMillis = (clock.monotonicNanos() - stopStartNanos) / 1_000_000L;
-          boolean idle = elapsedMillis > ACCEPT_AFTER_STOP_MILLIS && proxyService.inFlight() == 0;
+          boolean idle = elapsedMillis > ACCEPT_AFTER_STOP_MILLIS && inFlight() == 0;
           if (idle || elapsedMillis > maxStopMillis) {
-            Logger.info("event=stopped cut={}", proxyService.inFlight());
+            Logger.info("event=stopped cut={}", inFlight());
             stopped.complete(null);
           }
         },
@@ -253,6 +286,15 @@
         TimeUnit.MILLISECONDS);
   }
 
+  private void refuseNewRequests() {
+    proxyService.refuseNewRequests();
+    relayService.refuseNewRequests();
+  }
+
+  private int inFlight() {
+    return proxyService.inFlight() + relayService.inFlight();
+  }
+
   /**
    * Logs a request to reload the settings and does nothing else: settings do not change while a
    * process runs.
--- a/gateway/src/main/java/org/bambooarch/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/GatewaySettings.java
@@ -12,7 +12,8 @@
  * @param clientAddress TCP address that accepts requests of clients
  * @param readinessAddress TCP address for the platform's readiness probes
  * @param directoryAddress TCP address at which clients look up which instances to use
- * @param peerAddress UDP address that receives heartbeats of other instances
+ * @param peerAddress address that receives heartbeats (UDP) and relayed requests (TCP) of other
+ *     instances
  * @param metricsAddress TCP address that serves the Prometheus metrics
  * @param regionByDataCentre region of each data centre, by the data centre's name
  * @param retryRatio retries per request that the whole fleet may make
--- a/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
@@ -36,7 +36,7 @@
  * so the event loop of the control state also handles the traffic: a second thread would only add
  * context switches.
  */
-public final class ControlState {
+public final class ControlState implements RelaySelector {
 
   /** Cold start of servers whose service has no policy in the configuration. */
   private static final long DEFAULT_COLD_START_MILLIS = 3_000;
@@ -312,6 +312,7 @@
    * Returns whether this instance is partitioned from all servers, so that requests can only be
    * served through another instance.
    */
+  @Override
   public boolean isPartitionedFromServers() {
     return false;
   }
@@ -323,6 +324,7 @@
    * @param homeRegions the only regions that may serve the request; empty for all
    * @param hash hash of the request, by which one of several instances is chosen
    */
+  @Override
   public Optional<InstanceIdentity> relayInstance(Set<String> homeRegions, long hash) {
     return Optional.empty();
   }
--- a/gateway/src/main/java/org/bambooarch/gateway/control/PeerSocket.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/PeerSocket.java
@@ -59,7 +59,8 @@
     channel.close().syncUninterruptibly();
   }
 
-  private static InetSocketAddress addressOf(InstanceIdentity instance) {
+  /** Returns the address of an instance for heartbeats (UDP) and relayed requests (TCP). */
+  public static InetSocketAddress addressOf(InstanceIdentity instance) {
     String address = instance.peersAddress();
     int colon = address.lastIndexOf(':');
     return new InetSocketAddress(
--- /dev/null
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/RelaySelector.java
@@ -0,0 +1,20 @@
+package org.bambooarch.gateway.control;
+
+import java.util.Optional;
+import java.util.Set;
+import org.bambooarch.core.steering.fleet.InstanceIdentity;
+
+/** Tells whether requests can reach the servers only through another instance, and which one. */
+public interface RelaySelector {
+
+  /** Returns whether this instance is partitioned from all servers. */
+  boolean isPartitionedFromServers();
+
+  /**
+   * Returns an instance through which a request can be forwarded meanwhile; empty if there is none.
+   *
+   * @param homeRegions the only regions that may serve the request; empty for all
+   * @param hash hash of the request, by which one of several instances is chosen
+   */
+  Optional<InstanceIdentity> relayInstance(Set<String> homeRegions, long hash);
+}
--- a/gateway/src/main/java/org/bambooarch/gateway/endpoint/PortRouter.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/endpoint/PortRouter.java
@@ -38,6 +38,7 @@
             settings.clientAddress(),
             settings.readinessAddress(),
             settings.directoryAddress(),
-            settings.metricsAddress()));
+            settings.metricsAddress(),
+            settings.peerAddress()));
   }
 }
--- a/gateway/src/main/java/org/bambooarch/gateway/observability/GatewayMetrics.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/observability/GatewayMetrics.java
@@ -33,6 +33,11 @@
           .name("bambooarch_sends")
           .help("Requests sent to servers, further sends included.")
           .register(registry);
+  private final Counter relayedRequests =
+      Counter.builder()
+          .name("bambooarch_relayed_requests")
+          .help("Requests of other instances that were to be forwarded to servers.")
+          .register(registry);
   private final Histogram latency =
       Histogram.builder()
           .name("bambooarch_request_seconds")
@@ -63,6 +68,11 @@
     sends.inc();
   }
 
+  /** Counts a request that another instance relays through this one. */
+  public void onRelayedRequest() {
+    relayedRequests.inc();
+  }
+
   /** Returns the name of an outcome in logs and metric labels, for example {@code no-route}. */
   public static String labelOf(RequestOutcome outcome) {
     return outcome.name().toLowerCase(Locale.ROOT).replace('_', '-');
--- a/gateway/src/main/java/org/bambooarch/gateway/observability/RequestOutcome.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/observability/RequestOutcome.java
@@ -20,6 +20,8 @@
   CRASHES_SERVERS,
   /** No server has free capacity soon enough. */
   NO_ROOM,
+  /** The instance is partitioned from all servers, and no other instance can forward requests. */
+  PARTITIONED,
   /** Servers rejected the request or could not be reached, and no further attempt is permitted. */
   REJECTED,
   /** The event loop was so far behind that the client may have given the request up. */
--- /dev/null
+++ b/gateway/src/main/java/org/bambooarch/gateway/relay/RelayService.java
@@ -0,0 +1,70 @@
+package org.bambooarch.gateway.relay;
+
+import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.HttpResponseWriter;
+import com.linecorp.armeria.common.RequestHeaders;
+import com.linecorp.armeria.common.logging.RequestLogProperty;
+import com.linecorp.armeria.server.HttpService;
+import com.linecorp.armeria.server.ServiceRequestContext;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import java.util.function.BooleanSupplier;
+import org.bambooarch.gateway.endpoint.RawRequestUri;
+import org.bambooarch.gateway.request.GatewayContext;
+
+/**
+ * Accepts requests of other instances on the relay port and starts a {@link RelayExchange} for
+ * each. The other instance has admitted the request and chosen its server.
+ *
+ * <p>Used on the event loop only.
+ */
+public final class RelayService implements HttpService {
+
+  private final GatewayContext context;
+  private int inFlight;
+  private boolean refusingNewRequests;
+
+  /** Creates the service; it accepts requests until {@link #refuseNewRequests()}. */
+  public RelayService(GatewayContext context) {
+    this.context = context;
+  }
+
+  /** Returns how many requests have no complete response yet. Called on the event loop only. */
+  public int inFlight() {
+    return inFlight;
+  }
+
+  /**
+   * Responds to all requests from now on that they were not sent, since the instance is about to
+   * stop. Called on the event loop only.
+   */
+  public void refuseNewRequests() {
+    refusingNewRequests = true;
+  }
+
+  @Override
+  public HttpResponse serve(ServiceRequestContext armeriaContext, HttpRequest normalized) {
+    RequestHeaders headers = RawRequestUri.restore(normalized.headers());
+    HttpResponseWriter writer = HttpResponse.streaming();
+    BooleanSupplier refused = () -> refusingNewRequests;
+    context.metrics().onRelayedRequest();
+    RelayExchange exchange = new RelayExchange(context, headers, writer, refused);
+    inFlight++;
+    Channel channel = armeriaContext.log().ensureAvailable(RequestLogProperty.SESSION).channel();
+    // Armeria reports that the other instance has disconnected a second later than the connection.
+    ChannelFutureListener onClosed = closed -> exchange.onDisconnected();
+    channel.closeFuture().addListener(onClosed);
+    writer
+        .whenComplete()
+        .whenCompleteAsync(
+            (done, failure) -> {
+              inFlight--;
+              channel.closeFuture().removeListener(onClosed);
+              exchange.onDisconnected();
+            },
+            context.loop());
+    normalized.withHeaders(headers).subscribe(exchange.body(), context.loop());
+    return writer;
+  }
+}
--- a/gateway/src/main/java/org/bambooarch/gateway/request/BufferedResponseRelay.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/BufferedResponseRelay.java
@@ -21,10 +21,10 @@
  *
  * <p>Used on the event loop only.
  */
-final class BufferedResponseRelay {
+public final class BufferedResponseRelay {
 
   /** Longest response body that is buffered until it is complete, in bytes. */
-  static final int MAX_BUFFERED_BYTES = 256 * 1024;
+  public static final int MAX_BUFFERED_BYTES = 256 * 1024;
 
   private final HttpResponseWriter writer;
   private final ResponseHeaders head;
@@ -42,7 +42,7 @@
    * @param closesConnection tells, when the response is written, whether it is the last one on the
    *     client's connection
    */
-  BufferedResponseRelay(
+  public BufferedResponseRelay(
       HttpResponseWriter writer,
       ResponseHeaders head,
       TargetRequestHandle handle,
@@ -54,12 +54,12 @@
   }
 
   /** Returns whether a part of the response has been written to the client already. */
-  boolean hasStarted() {
+  public boolean hasStarted() {
     return started;
   }
 
   /** Buffers a part of the body, or writes it to the client; releases the part. */
-  void onBodyPart(ByteBuf part) {
+  public void onBodyPart(ByteBuf part) {
     byte[] bytes;
     try {
       bytes = ByteBufUtil.getBytes(part);
@@ -97,7 +97,7 @@
   }
 
   /** Ends the response; a buffered one is written in full, with its length. */
-  void onComplete() {
+  public void onComplete() {
     if (!started) {
       byte[] bytes = buffer.toByteArray();
       var headers = headers();
@@ -113,7 +113,7 @@
   }
 
   /** Aborts the client's connection, since the response will not be complete. */
-  void abort() {
+  public void abort() {
     writer.close(
         new IllegalStateException(
             "the server's response is incomplete; aborting the client's response"));
--- a/gateway/src/main/java/org/bambooarch/gateway/request/ClientRequestBody.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/ClientRequestBody.java
@@ -18,16 +18,16 @@
  *
  * <p>Used on the event loop only.
  */
-final class ClientRequestBody implements Subscriber<HttpObject> {
+public final class ClientRequestBody implements Subscriber<HttpObject> {
 
   /**
    * Longest body that is buffered in full, in bytes. At this size, memory suffices for some hundred
    * buffered bodies besides the rest of the heap.
    */
-  static final int MAX_BUFFERED_BYTES = 64 * 1024;
+  public static final int MAX_BUFFERED_BYTES = 64 * 1024;
 
   /** Receives the events of a body. All methods are called on the event loop. */
-  interface Listener {
+  public interface Listener {
 
     /**
      * The body is complete and buffered, or has exceeded the buffer and must be streamed. Called
@@ -43,7 +43,7 @@
   }
 
   /** Destination of a body that is streamed. */
-  interface Sink {
+  public interface Sink {
 
     /**
      * Writes a part of the body.
@@ -67,13 +67,14 @@
   private boolean stopped;
   private long receivedBytes;
 
-  ClientRequestBody(Listener listener, long maxBytes) {
+  /** Creates a body that fails once it exceeds {@code maxBytes}. */
+  public ClientRequestBody(Listener listener, long maxBytes) {
     this.listener = listener;
     this.maxBytes = maxBytes;
   }
 
   /** Returns the full body, or empty if it exceeded the buffer or is not complete yet. */
-  Optional<byte[]> bufferedBody() {
+  public Optional<byte[]> bufferedBody() {
     return complete && !exceedsBuffer ? Optional.of(buffer.toByteArray()) : Optional.empty();
   }
 
@@ -81,13 +82,13 @@
    * Starts to stream a body that exceeded the buffer, from its beginning. May be called once only,
    * since the parts that follow are not kept.
    */
-  void streamTo(Sink newSink) {
+  public void streamTo(Sink newSink) {
     sink = newSink;
     sink.writePart(Unpooled.wrappedBuffer(buffer.toByteArray()), this::requestNext);
   }
 
   /** Stops reading the body: no further data is requested, and no further error is reported. */
-  void stop() {
+  public void stop() {
     stopped = true;
     if (subscription != null) {
       subscription.cancel();
--- a/gateway/src/main/java/org/bambooarch/gateway/request/GatewayContext.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/GatewayContext.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import java.util.random.RandomGenerator;
 import org.bambooarch.gateway.control.ControlState;
+import org.bambooarch.gateway.control.RelaySelector;
 import org.bambooarch.gateway.observability.GatewayMetrics;
 import org.bambooarch.gateway.observability.RequestEventLog;
 import org.bambooarch.gateway.spi.RequestFormat;
@@ -12,6 +13,7 @@
  * Objects that all requests of an instance share. They are used on the event loop only.
  *
  * @param state configuration, servers and other state from which decisions about requests are made
+ * @param relaySelector tells when requests must go through another instance
  * @param targetClient HTTP client for the servers
  * @param requestFormat wire format of the headers of requests and responses
  * @param loop the only event loop of the instance
@@ -21,6 +23,7 @@
  */
 public record GatewayContext(
     ControlState state,
+    RelaySelector relaySelector,
     TargetHttpClient targetClient,
     RequestFormat requestFormat,
     EventLoop loop,
--- a/gateway/src/main/java/org/bambooarch/gateway/request/ProxyExchange.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/ProxyExchange.java
@@ -17,14 +17,17 @@
 import org.bambooarch.core.steering.config.HomeRegions;
 import org.bambooarch.core.steering.config.ServicePolicy;
 import org.bambooarch.core.steering.config.ServiceRoute;
+import org.bambooarch.core.steering.fleet.InstanceIdentity;
 import org.bambooarch.core.steering.hash.Hashes;
 import org.bambooarch.core.steering.place.NoRoomDetails;
 import org.bambooarch.core.steering.place.Placement;
 import org.bambooarch.core.steering.place.PlacementQuery;
 import org.bambooarch.core.steering.place.ServerState;
 import org.bambooarch.gateway.control.ControlState;
+import org.bambooarch.gateway.control.PeerSocket;
 import org.bambooarch.gateway.observability.RequestOutcome;
 import org.bambooarch.gateway.spi.ClientRequestHeaders;
+import org.bambooarch.gateway.spi.RelayHeaders;
 import org.bambooarch.gateway.spi.ServerRequestHeaders;
 import org.bambooarch.gateway.target.TargetRequest;
 import org.bambooarch.gateway.target.TargetRequestHandle;
@@ -70,6 +73,7 @@
   private ServerState server;
   private ServerAttempt attempt;
   private boolean bodyStreamed;
+  private boolean bodyUsedUp;
   private boolean finished;
 
   ProxyExchange(
@@ -154,22 +158,41 @@
       refuse(RequestOutcome.NO_ROOM, 503, DEFAULT_RETRY_AFTER_MILLIS);
       return;
     }
+    boolean partitioned = context.relaySelector().isPartitionedFromServers();
+    Optional<InstanceIdentity> relay = partitioned ? chooseRelay() : Optional.empty();
+    log.onChoseRelay(relay);
+    if (partitioned && relay.isEmpty()) {
+      refuseWithoutServer(RequestOutcome.PARTITIONED, DEFAULT_RETRY_AFTER_MILLIS);
+      return;
+    }
     PlacementQuery query = placementQuery();
     Placement placement =
         state.chooser().choose(query, servicePolicy(), state.clock().monotonicNanos());
     switch (placement) {
-      case Placement.Chosen(ServerState chosen, int load) -> send(query, chosen, load);
+      case Placement.Chosen(ServerState chosen, int load) -> send(query, chosen, load, relay);
       case Placement.NoRoom(long retryAfterMillis, NoRoomDetails details) -> {
         log.onNoRoom(details);
-        if (retryDecider.mayHaveRun()) {
-          refuse(RequestOutcome.LOST, 502, 0);
-        } else {
-          refuse(RequestOutcome.NO_ROOM, 503, retryAfterMillis);
-        }
+        refuseWithoutServer(RequestOutcome.NO_ROOM, retryAfterMillis);
       }
     }
   }
 
+  /** Returns the instance for the next attempt; each attempt may go through another one. */
+  private Optional<InstanceIdentity> chooseRelay() {
+    long hash =
+        Hashes.combine(Hashes.of(clientHeaders.requestId()), retryDecider.triedServers().size());
+    return context.relaySelector().relayInstance(homeRegions.regions(), hash);
+  }
+
+  /** Refuses the request, for which there is no server now, as not run unless it may have run. */
+  private void refuseWithoutServer(RequestOutcome outcome, long retryAfterMillis) {
+    if (retryDecider.mayHaveRun()) {
+      refuse(RequestOutcome.LOST, 502, 0);
+    } else {
+      refuse(outcome, 503, retryAfterMillis);
+    }
+  }
+
   private PlacementQuery placementQuery() {
     long objectHash =
         route.sticky()
@@ -194,7 +217,8 @@
         .orElseGet(() -> new ServicePolicy(service, "/", 0, 0, 1));
   }
 
-  private void send(PlacementQuery query, ServerState chosen, int loadBefore) {
+  private void send(
+      PlacementQuery query, ServerState chosen, int loadBefore, Optional<InstanceIdentity> relay) {
     server = chosen;
     retryDecider.onChosen(chosen.entry().id());
     chosen.onSent();
@@ -215,7 +239,16 @@
             body.bufferedBody(),
             headers.contentLength());
     attempt = new ServerAttempt(this, context, writer, query, chosen, loadBefore);
-    requestHandle = context.targetClient().send(chosen, request, attempt);
+    if (relay.isEmpty()) {
+      requestHandle = context.targetClient().send(chosen, request, attempt);
+      return;
+    }
+    headersToServer.set(RelayHeaders.SERVER, chosen.entry().id());
+    requestHandle =
+        context
+            .targetClient()
+            .sendOverRelay(
+                PeerSocket.addressOf(relay.get()), request, new RelayedResponseListener(attempt));
   }
 
   /** Returns whether the request has ended; events that arrive later must be ignored. */
@@ -232,6 +265,7 @@
   void onSending() {
     retryDecider.onSending();
     if (bodyStreamed) {
+      bodyUsedUp = true;
       // The head is written after this method returns, and parts of the body must follow it.
       context.loop().execute(this::startStreaming);
     }
@@ -273,7 +307,7 @@
   void onAttemptFailed(AttemptResult result, String cause) {
     double serviceNanos = state.chooser().warmNanos(service);
     boolean enoughTime = remainingNanos() > serviceNanos * MIN_REMAINING_TIME_FRACTION;
-    RetryDecider.Step step = retryDecider.onAttemptEnded(result, enoughTime, !bodyStreamed);
+    RetryDecider.Step step = retryDecider.onAttemptEnded(result, enoughTime, !bodyUsedUp);
     log.onAttemptFailed(attempt.server(), result, cause, step);
     switch (step) {
       case SEND_ELSEWHERE -> retryOnAnotherServer();
--- a/gateway/src/main/java/org/bambooarch/gateway/request/RequestLogger.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/RequestLogger.java
@@ -5,6 +5,7 @@
 import org.bambooarch.core.steering.config.CustomerPolicy;
 import org.bambooarch.core.steering.config.ServiceRoute;
 import org.bambooarch.core.steering.config.SteeringConfig;
+import org.bambooarch.core.steering.fleet.InstanceIdentity;
 import org.bambooarch.core.steering.place.NoRoomDetails;
 import org.bambooarch.core.steering.place.ServerState;
 import org.bambooarch.gateway.observability.GatewayMetrics;
@@ -23,6 +24,7 @@
   private final Optional<CustomerPolicy> customer;
   private String lastFailure = "";
   private String noRoomDetails = "";
+  private String via = "";
 
   RequestLogger(
       GatewayContext context,
@@ -37,6 +39,14 @@
     this.customer = customer;
   }
 
+  /**
+   * Records through which instance the next attempt goes; the lines about the attempt and about the
+   * finished request state it.
+   */
+  void onChoseRelay(Optional<InstanceIdentity> relay) {
+    via = relay.map(instance -> " via=" + instance.name()).orElse("");
+  }
+
   /** Records why no server had room; the line about the finished request states it. */
   void onNoRoom(NoRoomDetails details) {
     noRoomDetails = details.describe();
@@ -56,8 +66,9 @@
       context
           .requestLog()
           .write(
-              "event=attempt-failed request=%s server=%s ending=%s cause=\"%s\" next=%s"
-                  .formatted(clientHeaders.requestId(), server.entry().id(), result, cause, next));
+              "event=attempt-failed request=%s server=%s ending=%s cause=\"%s\" next=%s%s"
+                  .formatted(
+                      clientHeaders.requestId(), server.entry().id(), result, cause, next, via));
     }
   }
 
@@ -94,8 +105,8 @@
       context
           .requestLog()
           .write(
-              "event=request-finished %s %s config=%d %s"
-                  .formatted(subject, ending, version, noRoomDetails));
+              "event=request-finished %s %s%s config=%d %s"
+                  .formatted(subject, ending, via, version, noRoomDetails));
     }
   }
 
--- a/gateway/src/main/java/org/bambooarch/gateway/request/ServerAttempt.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/ServerAttempt.java
@@ -95,6 +95,43 @@
     exchange.onAttemptFailed(AttemptResult.NOT_SENT, "unreachable");
   }
 
+  /**
+   * Called when no connection to the relay instance could be opened; says nothing of the server.
+   */
+  void onRelayUnreachable() {
+    if (exchange.isFinished()) {
+      return;
+    }
+    server.onRequestEnded();
+    exchange.onAttemptFailed(AttemptResult.NOT_SENT, "relay-unreachable");
+  }
+
+  /** Called when the relay instance sent nothing, since it may not or cannot reach the server. */
+  void onNotSentByRelay() {
+    if (exchange.isFinished()) {
+      return;
+    }
+    server.onRequestEnded();
+    server.onNotReachedByRelay(state.clock().monotonicNanos());
+    exchange.onAttemptFailed(AttemptResult.NOT_SENT, "not-sent-by-relay");
+  }
+
+  /**
+   * Called when the connection to the relay instance was lost; the server may have run the request,
+   * but there is no sign that it crashed.
+   */
+  void onRelayLost(String reason) {
+    if (exchange.isFinished()) {
+      return;
+    }
+    server.onRequestEnded();
+    if (abortStartedResponse()) {
+      exchange.onResponseTruncated();
+      return;
+    }
+    exchange.onAttemptFailed(AttemptResult.LOST, "relay-lost: " + reason);
+  }
+
   @Override
   public void onSending() {
     sentNanos = state.clock().monotonicNanos();
--- a/gateway/src/main/java/org/bambooarch/gateway/spi/RequestFormat.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/spi/RequestFormat.java
@@ -21,6 +21,21 @@
    */
   HttpHeaders toServerRequest(RequestHeaders fromClient, ServerRequestHeaders added);
 
+  /**
+   * Returns the headers with which a request that another instance relayed is forwarded to its
+   * server: those that the other instance set for the server, without the internal ones.
+   *
+   * @param relayed the headers of the request on the relay port
+   * @param timeoutMillis how long the server may work on the request, in milliseconds
+   */
+  HttpHeaders toServerRequest(RequestHeaders relayed, long timeoutMillis);
+
+  /**
+   * Returns the status and headers with which a server's response is passed to the instance that
+   * relayed the request; they include the control information of the server.
+   */
+  ResponseHeaders toRelayedResponse(HttpResponse head);
+
   /** Reads the control information in the head of a server's response. */
   ServerResponseHeaders readServerResponse(HttpResponse head);
 
--- a/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnectionPool.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnectionPool.java
@@ -13,12 +13,11 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.TimeUnit;
-import org.bambooarch.core.steering.place.ServerEntry;
 import org.bambooarch.core.time.Clock;
 import org.bambooarch.gateway.spi.RequestFormat;
 
 /**
- * Idle connections to one server, which are reused for further requests.
+ * Idle connections to one address, which are reused for further requests.
  *
  * <p>Used on the event loop only.
  */
@@ -44,7 +43,7 @@
   private static final int MAX_HEADER_BYTES = 64 * 1024;
   private static final int MAX_CHUNK_BYTES = 64 * 1024;
 
-  private final ServerEntry server;
+  private final InetSocketAddress address;
   private final EventLoop loop;
   private final Bootstrap bootstrap;
   private final Clock clock;
@@ -54,12 +53,12 @@
   private long newConnectionsOnlyUntilNanos;
 
   TargetConnectionPool(
-      ServerEntry server,
+      InetSocketAddress address,
       RequestFormat format,
       EventLoop loop,
       Clock clock,
       int connectTimeoutMillis) {
-    this.server = server;
+    this.address = address;
     this.format = format;
     this.loop = loop;
     this.clock = clock;
@@ -109,7 +108,7 @@
                         .addLast(newConnection);
                   }
                 })
-            .connect(new InetSocketAddress(server.host(), server.port()));
+            .connect(address);
     handle.onConnecting(connecting);
     connecting.addListener(
         (ChannelFutureListener)
--- a/gateway/src/main/java/org/bambooarch/gateway/target/TargetHttpClient.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/target/TargetHttpClient.java
@@ -1,9 +1,11 @@
 package org.bambooarch.gateway.target;
 
 import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
+import org.bambooarch.core.steering.place.ServerEntry;
 import org.bambooarch.core.steering.place.ServerState;
 import org.bambooarch.core.steering.place.ServerTable;
 import org.bambooarch.core.time.Clock;
@@ -27,6 +29,9 @@
   private final Clock clock;
   private final Map<String, TargetConnectionPool> pools = new HashMap<>();
 
+  /** Kept for as long as the process runs: instances are few, and peers close idle connections. */
+  private final Map<InetSocketAddress, TargetConnectionPool> relayPools = new HashMap<>();
+
   /** Creates a client without connections; all of its connections use the given event loop. */
   public TargetHttpClient(RequestFormat format, EventLoop loop, Clock clock) {
     this.format = format;
@@ -54,7 +59,25 @@
   }
 
   private TargetConnectionPool newPool(ServerState server) {
-    return new TargetConnectionPool(server.entry(), format, loop, clock, CONNECT_TIMEOUT_MILLIS);
+    ServerEntry entry = server.entry();
+    return newPool(new InetSocketAddress(entry.host(), entry.port()));
+  }
+
+  private TargetConnectionPool newPool(InetSocketAddress address) {
+    return new TargetConnectionPool(address, format, loop, clock, CONNECT_TIMEOUT_MILLIS);
+  }
+
+  /**
+   * Sends a request to the relay port of another instance, over an idle connection or a new one.
+   *
+   * @param listener receives the events of the request, possibly before this method returns
+   * @return a handle by which the request can be cancelled and its body streamed
+   */
+  public TargetRequestHandle sendOverRelay(
+      InetSocketAddress relay, TargetRequest request, TargetResponseListener listener) {
+    TargetRequestHandle handle = new TargetRequestHandle();
+    relayPools.computeIfAbsent(relay, this::newPool).send(request, listener, handle, () -> {});
+    return handle;
   }
 
   /** Closes the idle connections to servers that are not in the given table any more. */
@@ -73,5 +96,7 @@
   public void close() {
     pools.values().forEach(TargetConnectionPool::close);
     pools.clear();
+    relayPools.values().forEach(TargetConnectionPool::close);
+    relayPools.clear();
   }
 }
