--- a/gateway/src/main/java/org/bambooarch/gateway/request/RelayedResponseListener.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/RelayedResponseListener.java
@@ -57,7 +57,8 @@
     }
     switch (outcome.get()) {
       case NOT_SENT -> attempt.onNotSentByRelay();
-      case LOST -> attempt.onConnectionLost("the relay instance got no complete response");
+      // LOST
+      default -> attempt.onConnectionLost("the relay instance got no complete response");
     }
   }
 
