--- a/core/src/main/java/org/bambooarch/core/steering/place/ServerTable.java
+++ b/core/src/main/java/org/bambooarch/core/steering/place/ServerTable.java
@@ -228,6 +228,11 @@
     return servers.values();
   }
 
+  /** Returns the server with this name if it may get requests, or empty. */
+  public Optional<ServerState> findAvailable(String id) {
+    return find(id).filter(this::isAvailable);
+  }
+
   /** Returns the servers of all services that may get requests. */
   List<ServerState> usableServers() {
     return servers.values().stream().filter(this::isAvailable).toList();
--- a/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
@@ -38,7 +38,7 @@
  * so the event loop of the control state also handles the traffic: a second thread would only add
  * context switches.
  */
-public final class ControlState {
+public final class ControlState implements RelaySelector {
 
   /** Cold start of servers whose service has no policy in the configuration. */
   private static final long DEFAULT_COLD_START_MILLIS = 3_000;
@@ -337,6 +337,7 @@
    * Returns whether this instance is partitioned from all servers, so that requests can only be
    * served through another instance.
    */
+  @Override
   public boolean isPartitionedFromServers() {
     return reachability.isPartitioned();
   }
@@ -348,6 +349,7 @@
    * @param homeRegions the only regions that may serve the request; empty for all
    * @param hash hash of the request, by which one of several instances is chosen
    */
+  @Override
   public Optional<InstanceIdentity> relayInstance(Set<String> homeRegions, long hash) {
     return RelayChoice.choose(
         fleet.liveHeartbeats(clock.monotonicNanos()), fleet.self().region(), homeRegions, hash);
--- a/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnectionPool.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnectionPool.java
@@ -13,12 +13,11 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.TimeUnit;
-import org.bambooarch.core.steering.place.ServerEntry;
 import org.bambooarch.core.time.Clock;
 import org.bambooarch.gateway.spi.RequestFormat;
 
 /**
- * Idle connections to one server, which are reused for further requests.
+ * Idle connections to one address, which are reused for further requests.
  *
  * <p>Used on the event loop only.
  */
@@ -53,25 +52,44 @@
   private static final int MAX_HEADER_BYTES = 64 * 1024;
   private static final int MAX_CHUNK_BYTES = 64 * 1024;
 
-  private final ServerEntry server;
+  /** Receives what the connections say about whether the address can be reached. */
+  interface Observer {
+
+    /** Called when a new connection was opened. */
+    default void onConnected() {}
+
+    /** Called when a connection for a request could not be opened. */
+    default void onConnectFailed() {}
+
+    /** Called when a connection for a probe could not be opened. */
+    default void onProbeFailed() {}
+
+    /** Called when a connection takes unusually long to open. */
+    default void onConnectSlow() {}
+
+    /** Called when data arrived. */
+    default void onRead() {}
+  }
+
+  private final InetSocketAddress address;
   private final EventLoop loop;
   private final Bootstrap bootstrap;
   private final Clock clock;
   private final Deque<TargetConnection> idleConnections = new ArrayDeque<>();
   private final RequestFormat format;
-  private final ConnectionObserver observer;
+  private final Observer observer;
   private final int connectTimeoutMillis;
   private boolean sawUnsolicitedResponse;
   private long newConnectionsOnlyUntilNanos;
 
   TargetConnectionPool(
-      ServerEntry server,
+      InetSocketAddress address,
       RequestFormat format,
       EventLoop loop,
       Clock clock,
       int connectTimeoutMillis,
-      ConnectionObserver observer) {
-    this.server = server;
+      Observer observer) {
+    this.address = address;
     this.format = format;
     this.loop = loop;
     this.clock = clock;
@@ -113,13 +131,13 @@
             future -> {
               if (!future.isSuccess()) {
                 if (isEvidence(future, startNanos, connectTimeoutMillis)) {
-                  observer.onConnectFailed(server);
+                  observer.onConnectFailed();
                 }
                 handle.onConnectFailed(listener, isConnectionRefused(future.cause()));
                 return;
               }
               onConnected.run();
-              observer.onConnected(server);
+              observer.onConnected();
               // If the client has left or the deadline has passed meanwhile, the event loop
               // processes that before it runs this task.
               loop.schedule(
@@ -145,11 +163,11 @@
                 future -> {
                   if (future.isSuccess()) {
                     onConnected.run();
-                    observer.onConnected(server);
+                    observer.onConnected();
                     newConnection.markIdle();
                     release(newConnection, true);
                   } else if (isEvidence(future, startNanos, timeoutMillis)) {
-                    observer.onProbeFailed(server);
+                    observer.onProbeFailed();
                   }
                 });
   }
@@ -182,7 +200,7 @@
                     .addLast(newConnection);
               }
             })
-        .connect(new InetSocketAddress(server.host(), server.port()));
+        .connect(address);
   }
 
   private static void sendOverNew(
--- a/gateway/src/main/java/org/bambooarch/gateway/target/TargetHttpClient.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/target/TargetHttpClient.java
@@ -1,9 +1,11 @@
 package org.bambooarch.gateway.target;
 
 import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
+import org.bambooarch.core.steering.place.ServerEntry;
 import org.bambooarch.core.steering.place.ServerState;
 import org.bambooarch.core.steering.place.ServerTable;
 import org.bambooarch.core.time.Clock;
@@ -31,6 +33,9 @@
   private final ConnectionObserver observer;
   private final Map<String, TargetConnectionPool> pools = new HashMap<>();
 
+  /** Kept for as long as the process runs: instances are few, and peers close idle connections. */
+  private final Map<InetSocketAddress, TargetConnectionPool> relayPools = new HashMap<>();
+
   /**
    * Creates a client without connections.
    *
@@ -74,8 +79,60 @@
   }
 
   private TargetConnectionPool newPool(ServerState server) {
+    ServerEntry entry = server.entry();
+    return newPool(
+        new InetSocketAddress(entry.host(), entry.port()), new ServerObserver(entry, observer));
+  }
+
+  private TargetConnectionPool newPool(
+      InetSocketAddress address, TargetConnectionPool.Observer poolObserver) {
     return new TargetConnectionPool(
-        server.entry(), format, loop, clock, CONNECT_TIMEOUT_MILLIS, observer);
+        address, format, loop, clock, CONNECT_TIMEOUT_MILLIS, poolObserver);
+  }
+
+  private record ServerObserver(ServerEntry server, ConnectionObserver observer)
+      implements TargetConnectionPool.Observer {
+
+    @Override
+    public void onConnected() {
+      observer.onConnected(server);
+    }
+
+    @Override
+    public void onConnectFailed() {
+      observer.onConnectFailed(server);
+    }
+
+    @Override
+    public void onProbeFailed() {
+      observer.onProbeFailed(server);
+    }
+
+    @Override
+    public void onConnectSlow() {
+      observer.onConnectSlow();
+    }
+
+    @Override
+    public void onRead() {
+      observer.onRead();
+    }
+  }
+
+  /**
+   * Sends a request to the relay port of another instance, over an idle connection or a new one,
+   * which says nothing about whether servers can be reached.
+   *
+   * @param listener receives the events of the request, possibly before this method returns
+   * @return a handle by which the request can be cancelled and its body streamed
+   */
+  public TargetRequestHandle sendOverRelay(
+      InetSocketAddress relay, TargetRequest request, TargetResponseListener listener) {
+    TargetRequestHandle handle = new TargetRequestHandle();
+    relayPools
+        .computeIfAbsent(relay, address -> newPool(address, new TargetConnectionPool.Observer() {}))
+        .send(request, listener, handle, () -> {});
+    return handle;
   }
 
   /** Closes the idle connections to servers that are not in the given table any more. */
@@ -99,5 +156,7 @@
   public void close() {
     pools.values().forEach(TargetConnectionPool::close);
     pools.clear();
+    relayPools.values().forEach(TargetConnectionPool::close);
+    relayPools.clear();
   }
 }
--- a/gateway/src/main/java/org/bambooarch/gateway/warmup/WarmUpFormat.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/warmup/WarmUpFormat.java
@@ -22,6 +22,11 @@
     return format.toServerRequest(fromClient, added);
   }
 
+  @Override
+  public HttpHeaders toServerRequest(RequestHeaders relayed, long timeoutMillis) {
+    return format.toServerRequest(relayed, timeoutMillis);
+  }
+
   @Override
   public ServerResponseHeaders readServerResponse(HttpResponse head) {
     ServerResponseHeaders headers = format.readServerResponse(head);
@@ -39,6 +44,11 @@
     return format.toClientResponse(head);
   }
 
+  @Override
+  public ResponseHeaders toRelayedResponse(HttpResponse head) {
+    return format.toRelayedResponse(head);
+  }
+
   @Override
   public ResponseHeaders refusalHeaders(int status, long retryAfterMillis, String requestId) {
     return format.refusalHeaders(status, retryAfterMillis, requestId);
