Ignore the internal header for targets when it comes over HTTP/2

What callers could do: over HTTP/2 in clear text, which the HTTP server accepts by its preface, a request with the header x-bambooarch-raw-target reached a server with that target instead of its own, spaces included ("GET /reads/9 HTTP/1.1 HTTP/1.1").

Cause: the handler that removes the header from requests and records the target is installed for HTTP/1 only, and the router trusted the header on every connection.

Change: the router restores the target over HTTP/1 only, and drops the header otherwise.

--- a/gateway/src/main/java/org/bambooarch/gateway/endpoint/PortRouter.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/endpoint/PortRouter.java
@@ -3,6 +3,7 @@
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.server.HttpService;
 import com.linecorp.armeria.server.ServiceRequestContext;
 import java.net.InetSocketAddress;
@@ -31,7 +32,13 @@
     HttpService service = servicesByPort.get(local.getPort());
     return service == null
         ? HttpResponse.of(HttpStatus.NOT_FOUND)
-        : service.serve(context, request.withHeaders(RawRequestUri.restore(request.headers())));
+        : service.serve(context, request.withHeaders(headersOf(context, request)));
+  }
+
+  private static RequestHeaders headersOf(ServiceRequestContext context, HttpRequest request) {
+    return context.sessionProtocol().isMultiplex()
+        ? RawRequestUri.remove(request.headers())
+        : RawRequestUri.restore(request.headers());
   }
 
   /** Returns the TCP addresses to listen on, in a fixed order and without duplicates. */
--- a/gateway/src/main/java/org/bambooarch/gateway/endpoint/RawRequestUri.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/endpoint/RawRequestUri.java
@@ -45,7 +45,8 @@
 
   /**
    * Returns the headers with the path and query that the client sent, and without the internal
-   * header. The authority of a URI in absolute form replaces that of the host header.
+   * header. The authority of a URI in absolute form replaces that of the host header. For requests
+   * over HTTP/1 only.
    */
   public static RequestHeaders restore(RequestHeaders headers) {
     String rawUri = headers.get(RAW_URI_HEADER);
@@ -64,6 +65,14 @@
         .build();
   }
 
+  /**
+   * Returns the headers without the internal header, which can only come from the client if the
+   * request came over HTTP/2, as no handler is installed there.
+   */
+  public static RequestHeaders remove(RequestHeaders headers) {
+    return headers.toBuilder().removeAndThen(RAW_URI_HEADER).build();
+  }
+
   /**
    * Forwards the first bytes of a connection to Armeria on their own, so that it builds its
    * pipeline, and then adds the {@link UriRecorder} after the HTTP codec and removes itself.
