Refuse targets whose authority is no host and port

What was seen: "GET http://shop.example:x@other.example/reads/1" was run on the route of shop.example, and the server got the host "shop.example:x@other.example".

Cause: everything up to the first slash counted as the authority, and the route is selected by what precedes its last colon.

Change: the authority is a name or address with or without a port; any other is left to the HTTP server, which answers 400.

--- a/gateway/src/main/java/org/bambooarch/gateway/endpoint/RawRequestUri.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/endpoint/RawRequestUri.java
@@ -9,6 +9,7 @@
 import io.netty.channel.CombinedChannelDuplexHandler;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpRequest;
+import java.util.Optional;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -27,9 +28,14 @@
   private static final String RAW_URI_HEADER = "x-bambooarch-raw-target";
   private static final String PLACEHOLDER_URI = "/";
 
-  /** A URI in absolute form, as clients send it to proxies: authority, then path and query. */
+  /**
+   * A URI in absolute form, as clients send it to proxies: authority, then path and query. The
+   * authority is a name or address, with or without a port, and has no user information.
+   */
   private static final Pattern ABSOLUTE_URI =
-      Pattern.compile("https?://([^/?#]+)(.*)", Pattern.CASE_INSENSITIVE);
+      Pattern.compile(
+          "https?://((?:[\\w.~%-]+|\\[[0-9a-f:.]+])(?::\\d*)?)([/?#].*)?",
+          Pattern.CASE_INSENSITIVE);
 
   /**
    * Number of first bytes by which Armeria detects HTTP/1 or HTTP/2 and then builds the pipeline.
@@ -58,7 +64,7 @@
     if (!absolute.matches()) {
       return restored.path(rawUri).build();
     }
-    String pathAndQuery = absolute.group(2);
+    String pathAndQuery = Optional.ofNullable(absolute.group(2)).orElse("");
     return restored
         .authority(absolute.group(1))
         .path(pathAndQuery.startsWith("/") ? pathAndQuery : "/" + pathAndQuery)
