Remember that another instance applied a newer configuration

Cause: an instance counted as outdated only while the one that had told of a newer version was live, though versions only rise. Once that one was killed or cut off, the other refused with 401 and 404 for good again.

Change: the highest version that a heartbeat told is kept; it also spares a list of heartbeats for each refused request. A case in ControlStateTest failed before.

--- a/core/src/main/java/org/bambooarch/core/steering/fleet/FleetTable.java
+++ b/core/src/main/java/org/bambooarch/core/steering/fleet/FleetTable.java
@@ -170,11 +170,6 @@
             .allMatch(peer -> peer.heard && peer.heardNanos > sinceNanos);
   }
 
-  /** Returns the highest configuration version that a live instance applies; 0 if none is live. */
-  public long newestConfigVersion(long nowNanos) {
-    return liveHeartbeats(nowNanos).stream().mapToLong(Heartbeat::configVersion).max().orElse(0);
-  }
-
   /** Returns the number of known instances, live or silent, with this one. */
   public int knownInstances() {
     return peers.size() + 1;
--- a/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
@@ -64,6 +64,7 @@
   private final SmoothWeightedRoundRobin roundRobin = new SmoothWeightedRoundRobin();
   private final Set<String> listedClosed = new HashSet<>();
   private SteeringConfig config;
+  private long newestKnownVersion;
   private boolean operatorListReachable = true;
   private boolean keepsClosed;
   private long keepClosedUntilNanos;
@@ -216,11 +217,18 @@
 
   /**
    * Returns whether operators may have written a newer configuration than the one in force here:
-   * the store cannot be watched, or another instance already applies a newer one.
+   * the store cannot be watched, or another instance has applied a newer one.
    */
   public boolean isConfigurationOutdated() {
-    long ownVersion = config == null ? 0 : config.version();
-    return !operatorListReachable || fleet.newestConfigVersion(clock.monotonicNanos()) > ownVersion;
+    return !operatorListReachable || hasMissedConfiguration();
+  }
+
+  /**
+   * Returns whether another instance has applied a newer configuration than the one in force here.
+   * Versions only rise, so this holds also when that instance is gone.
+   */
+  boolean hasMissedConfiguration() {
+    return newestKnownVersion > (config == null ? 0 : config.version());
   }
 
   private void applyConfiguration(SteeringConfig newConfig) {
@@ -246,6 +254,7 @@
   public void onHeartbeat(Heartbeat heartbeat) {
     long nowNanos = clock.monotonicNanos();
     if (fleet.onHeartbeat(heartbeat, nowNanos)) {
+      newestKnownVersion = Math.max(newestKnownVersion, heartbeat.configVersion());
       crashes.onPeerCrashes(heartbeat.crashes(), nowNanos);
     }
   }
--- a/gateway/src/test/java/org/bambooarch/gateway/control/ControlStateTest.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/control/ControlStateTest.java
@@ -19,7 +19,7 @@
   private final ManualClock clock = ManualClock.startingAtZero();
   private final ControlState state = new ControlState(ListWatcherTest.settings(), clock);
 
-  private static ControlUpdate configuration(long version) {
+  static ControlUpdate configuration(long version) {
     SteeringConfig config =
         new SteeringConfig(
             version,
@@ -30,7 +30,7 @@
     return new ControlUpdate(0, version, List.of(new ControlChange.ConfigurationChanged(config)));
   }
 
-  private static Heartbeat heartbeat(long configVersion) {
+  static Heartbeat heartbeat(long configVersion) {
     InstanceIdentity sender =
         new InstanceIdentity("entry-2", 1, "north", "north-b", "10.0.0.2:1", "10.0.0.2:2");
     return new Heartbeat(sender, true, configVersion, Map.of(), Map.of(), Map.of(), List.of());
@@ -62,4 +62,17 @@
     state.onListReachable(Topic.OPERATOR, true);
     assertThat(state.isConfigurationOutdated()).isFalse();
   }
+
+  // Regression: what an instance had told was forgotten when it fell silent.
+  @Test
+  void should_tell_that_its_configuration_is_outdated_when_the_one_that_told_so_fell_silent() {
+    state.replaceList(Topic.OPERATOR, configuration(7));
+    state.onHeartbeat(heartbeat(8));
+    clock.advanceMillis(70_000);
+    state.tick();
+    assertThat(state.isConfigurationOutdated()).isTrue();
+
+    state.applyChanges(configuration(8));
+    assertThat(state.isConfigurationOutdated()).isFalse();
+  }
 }
