Watch the configuration again when others apply a newer one

Cause: a response that the store loses on a connection that stays open ends a watch only by its timeout, 22.5 s later. Until then the instance keeps its older configuration, whether or not the store is sound again.

Change: if another instance has applied a newer version for 1 s, the watch is made anew, and then after 2, 4, 8 and every 16 s. A fleet in which all know the same version makes no call more.

Two more cases bound the calls.

--- a/gateway/src/main/java/org/bambooarch/gateway/Gateway.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/Gateway.java
@@ -197,6 +197,7 @@
   private void tick() {
     try {
       state.tick();
+      storeSynchronizer.tick();
       requestLog.tick();
       targetClient.retainOnly(state.servers());
       long nowNanos = clock.monotonicNanos();
--- a/gateway/src/main/java/org/bambooarch/gateway/control/ListWatcher.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ListWatcher.java
@@ -88,6 +88,20 @@
     }
   }
 
+  /**
+   * Makes a new call for changes and ignores the response to the one in progress. Does nothing
+   * while the list is read in full or the store is not reachable, as those calls are retried.
+   */
+  void renew() {
+    if (loaded && storeReachable && !stopped) {
+      Logger.warn(
+          "event=watch-renewed list={} version={} reason=\"others know a newer configuration\"",
+          topic,
+          version);
+      requestNextUpdate();
+    }
+  }
+
   private void requestNextUpdate() {
     if (stopped) {
       return;
--- a/gateway/src/main/java/org/bambooarch/gateway/control/StoreSynchronizer.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/StoreSynchronizer.java
@@ -26,13 +26,25 @@
    */
   private static final long MIN_REGISTER_RETRY_MILLIS = 700;
 
+  /**
+   * Time for which another instance has applied a newer configuration before the watch is renewed,
+   * in nanoseconds: 1 s. An answer that is not lost arrives earlier.
+   */
+  private static final long MIN_RENEW_DELAY_NANOS = 1_000_000_000L;
+
+  /** Longest time until the watch is renewed once more; each time is twice the one before. */
+  private static final long MAX_RENEW_DELAY_NANOS = 16_000_000_000L;
+
   private final ControlStore store;
   private final ControlState state;
   private final EventLoop loop;
   private final RandomGenerator random;
+  private final ListWatcher operatorWatcher;
   private final List<ListWatcher> watchers;
   private final StoreEra era = new StoreEra(this::onNewEra);
   private boolean stopped;
+  private long renewDelayNanos = MIN_RENEW_DELAY_NANOS;
+  private long renewNanos;
 
   /** Creates a synchronizer that makes no calls until {@link #start()}. */
   public StoreSynchronizer(
@@ -41,10 +53,9 @@
     this.state = state;
     this.loop = loop;
     this.random = random;
+    this.operatorWatcher = new ListWatcher(Topic.OPERATOR, store, state, loop, random, era);
     this.watchers =
-        List.of(
-            new ListWatcher(Topic.OPERATOR, store, state, loop, random, era),
-            new ListWatcher(Topic.SERVERS, store, state, loop, random, era));
+        List.of(operatorWatcher, new ListWatcher(Topic.SERVERS, store, state, loop, random, era));
   }
 
   /** Starts to watch the lists, and registers this instance. */
@@ -69,6 +80,25 @@
             });
   }
 
+  /**
+   * Watches the operators' list again if this instance has lacked a configuration that another one
+   * applies for too long: the notice of it was lost, and the watch would wait for the next change.
+   * Called every {@link ControlState#TICK_MILLIS}.
+   */
+  public void tick() {
+    long nowNanos = state.clock().monotonicNanos();
+    if (!state.hasMissedConfiguration()) {
+      renewDelayNanos = MIN_RENEW_DELAY_NANOS;
+      renewNanos = nowNanos + renewDelayNanos;
+      return;
+    }
+    if (nowNanos - renewNanos >= 0) {
+      renewDelayNanos = Math.min(2 * renewDelayNanos, MAX_RENEW_DELAY_NANOS);
+      renewNanos = nowNanos + renewDelayNanos;
+      operatorWatcher.renew();
+    }
+  }
+
   private void onNewEra() {
     state.onStoreReverted();
     watchers.forEach(ListWatcher::onNewEra);
--- /dev/null
+++ b/gateway/src/test/java/org/bambooarch/gateway/control/StoreSynchronizerTest.java
@@ -0,0 +1,101 @@
+package org.bambooarch.gateway.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.bambooarch.core.steering.config.SteeringConfig;
+import org.bambooarch.core.steering.fleet.InstanceIdentity;
+import org.bambooarch.core.time.ManualClock;
+import org.bambooarch.gateway.spi.ControlStore;
+import org.bambooarch.gateway.spi.ControlUpdate;
+import org.bambooarch.gateway.spi.Topic;
+import org.junit.jupiter.api.Test;
+
+class StoreSynchronizerTest {
+
+  private final EmbeddedChannel channel = new EmbeddedChannel();
+  private final ManualClock clock = ManualClock.startingAtZero();
+  private final ControlState state = new ControlState(ListWatcherTest.settings(), clock);
+  private final LosingStore store = new LosingStore();
+  private final StoreSynchronizer synchronizer =
+      new StoreSynchronizer(
+          store, state, channel.eventLoop(), RandomGenerator.of("L64X128MixRandom"));
+
+  /** A store that loses the response to the first watch of the operators' list. */
+  private static final class LosingStore implements ControlStore {
+    private int operatorWatches;
+
+    @Override
+    public CompletableFuture<ControlUpdate> read(Topic topic) {
+      return CompletableFuture.completedFuture(
+          topic == Topic.OPERATOR
+              ? ControlStateTest.configuration(7)
+              : new ControlUpdate(0, 7, List.of()));
+    }
+
+    @Override
+    public CompletableFuture<ControlUpdate> watch(Topic topic, long after, long waitMillis) {
+      if (topic == Topic.OPERATOR && ++operatorWatches == 2) {
+        return CompletableFuture.completedFuture(ControlStateTest.configuration(8));
+      }
+      return new CompletableFuture<>();
+    }
+
+    @Override
+    public CompletableFuture<Void> register(InstanceIdentity instance) {
+      return CompletableFuture.completedFuture(null);
+    }
+
+    @Override
+    public CompletableFuture<Void> deregister(InstanceIdentity instance) {
+      return CompletableFuture.completedFuture(null);
+    }
+  }
+
+  /** Runs the given number of ticks, with a heartbeat of another instance before each. */
+  private void runTicks(int count, long peersConfigVersion) {
+    for (int i = 0; i < count; i++) {
+      clock.advanceMillis(ControlState.TICK_MILLIS);
+      state.onHeartbeat(ControlStateTest.heartbeat(peersConfigVersion));
+      synchronizer.tick();
+      channel.advanceTimeBy(ControlState.TICK_MILLIS, TimeUnit.MILLISECONDS);
+      channel.runPendingTasks();
+    }
+  }
+
+  private void start() {
+    channel.freezeTime();
+    synchronizer.start();
+    channel.runPendingTasks();
+  }
+
+  // Regression: a change whose notice was lost stayed unknown until the watch timed out, 22 s
+  // later.
+  @Test
+  void should_watch_again_when_another_instance_applies_a_newer_configuration() {
+    start();
+    runTicks(12, 8);
+
+    assertThat(state.config().map(SteeringConfig::version)).contains(8L);
+  }
+
+  @Test
+  void should_make_no_further_call_while_no_other_instance_applies_a_newer_configuration() {
+    start();
+    runTicks(100, 7);
+
+    assertThat(store.operatorWatches).isEqualTo(1);
+  }
+
+  @Test
+  void should_make_few_calls_when_the_store_does_not_have_what_another_instance_applies() {
+    start();
+    runTicks(600, 9);
+
+    assertThat(store.operatorWatches).isLessThanOrEqualTo(9);
+  }
+}
