--- a/gateway/src/main/java/org/bambooarch/gateway/Gateway.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/Gateway.java
@@ -239,6 +239,7 @@
   private void tick() {
     try {
       state.tick();
+      storeSynchronizer.tick();
       requestLog.tick();
       targetClient.retainOnly(state.servers());
       partitionMonitor.tick().forEach(targetClient::probe);
--- a/gateway/src/main/java/org/bambooarch/gateway/endpoint/RawRequestUri.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/endpoint/RawRequestUri.java
@@ -9,6 +9,7 @@
 import io.netty.channel.CombinedChannelDuplexHandler;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpRequest;
+import java.util.Optional;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -27,9 +28,14 @@
   private static final String RAW_URI_HEADER = "x-bambooarch-raw-target";
   private static final String PLACEHOLDER_URI = "/";
 
-  /** A URI in absolute form, as clients send it to proxies: authority, then path and query. */
+  /**
+   * A URI in absolute form, as clients send it to proxies: authority, then path and query. The
+   * authority is a name or address, with or without a port, and has no user information.
+   */
   private static final Pattern ABSOLUTE_URI =
-      Pattern.compile("https?://([^/?#]+)(.*)", Pattern.CASE_INSENSITIVE);
+      Pattern.compile(
+          "https?://((?:[\\w.~%-]+|\\[[0-9a-f:.]+])(?::\\d*)?)([/?#].*)?",
+          Pattern.CASE_INSENSITIVE);
 
   /**
    * Number of first bytes by which Armeria detects HTTP/1 or HTTP/2 and then builds the pipeline.
@@ -45,7 +51,8 @@
 
   /**
    * Returns the headers with the path and query that the client sent, and without the internal
-   * header. The authority of a URI in absolute form replaces that of the host header.
+   * header. The authority of a URI in absolute form replaces that of the host header. For requests
+   * over HTTP/1 only.
    */
   public static RequestHeaders restore(RequestHeaders headers) {
     String rawUri = headers.get(RAW_URI_HEADER);
@@ -57,13 +64,21 @@
     if (!absolute.matches()) {
       return restored.path(rawUri).build();
     }
-    String pathAndQuery = absolute.group(2);
+    String pathAndQuery = Optional.ofNullable(absolute.group(2)).orElse("");
     return restored
         .authority(absolute.group(1))
         .path(pathAndQuery.startsWith("/") ? pathAndQuery : "/" + pathAndQuery)
         .build();
   }
 
+  /**
+   * Returns the headers without the internal header, which can only come from the client if the
+   * request came over HTTP/2, as no handler is installed there.
+   */
+  public static RequestHeaders remove(RequestHeaders headers) {
+    return headers.toBuilder().removeAndThen(RAW_URI_HEADER).build();
+  }
+
   /**
    * Forwards the first bytes of a connection to Armeria on their own, so that it builds its
    * pipeline, and then adds the {@link UriRecorder} after the HTTP codec and removes itself.
