Log when a server names a limit, or names none any more

The platform's folder now decodes it, and each instance logs the beginning and the end of a limit as its own responses tell it. Nothing that an instance decides depends on it yet.

--- a/core/src/main/java/org/bambooarch/core/steering/place/ServerState.java
+++ b/core/src/main/java/org/bambooarch/core/steering/place/ServerState.java
@@ -49,6 +49,7 @@
   private boolean partitioned;
   private double coldTokens;
   private long coldRefilledNanos;
+  private final NamedLimit limit = new NamedLimit();
 
   ServerState(ServerEntry entry, String region, long nowNanos) {
     this.entry = entry;
@@ -89,6 +90,7 @@
     if (restarted) {
       failureRate = 0;
       ejectedUntilNanos = nowNanos;
+      limit.reset();
     }
     if (newer.coldLeftMillis() > 0) {
       assumeCold(newer.coldLeftMillis(), nowNanos);
@@ -245,6 +247,11 @@
     eject(nowNanos);
   }
 
+  /** Returns the limit of requests per second that the server has named. */
+  public NamedLimit limit() {
+    return limit;
+  }
+
   private void recordOutcome(boolean failure) {
     failureRate += SAMPLE_WEIGHT * ((failure ? 1 : 0) - failureRate);
     if (!failure && failureRate < EJECTION_FAILURE_RATE / 2) {
--- a/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
@@ -60,6 +60,7 @@
   private final FleetTable fleet;
   private final ServerTable servers;
   private final ServerReachability reachability;
+  private final ServerDirectives serverDirectives;
   private final ServerChooser chooser;
   private final ColdServerOwners coldOwners;
   private final CustomerRateLimiter rateLimiter;
@@ -81,6 +82,7 @@
     this.fleet = new FleetTable(settings.identity());
     this.servers = new ServerTable(settings.regionByDataCentre());
     this.reachability = new ServerReachability(servers);
+    this.serverDirectives = new ServerDirectives(clock);
     this.coldOwners = new ColdServerOwners(settings.identity());
     this.chooser = new ServerChooser(servers, settings.identity().region(), coldOwners);
     this.rateLimiter = new CustomerRateLimiter(fleet, settings.quotaTolerance());
@@ -384,6 +386,11 @@
     return reachability;
   }
 
+  /** Returns the component that applies what servers ask for in their responses. */
+  public ServerDirectives serverDirectives() {
+    return serverDirectives;
+  }
+
   /** Returns the component that chooses a server for each request. */
   public ServerChooser chooser() {
     return chooser;
--- /dev/null
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ServerDirectives.java
@@ -0,0 +1,49 @@
+package org.bambooarch.gateway.control;
+
+import org.bambooarch.core.steering.place.NamedLimit;
+import org.bambooarch.core.steering.place.ServerState;
+import org.bambooarch.core.time.Clock;
+import org.bambooarch.gateway.spi.ServerResponseHeaders;
+import org.tinylog.Logger;
+
+/**
+ * Applies what servers ask of the instances in the heads of their responses, and logs each change.
+ *
+ * <p>Used on the event loop only.
+ */
+public final class ServerDirectives {
+
+  private final Clock clock;
+
+  ServerDirectives(Clock clock) {
+    this.clock = clock;
+  }
+
+  /**
+   * Applies the head of a response. A head that another server or something else at the server's
+   * address may have written is ignored.
+   *
+   * @param server the server to which the request was sent
+   */
+  public void onResponseHead(ServerState server, ServerResponseHeaders headers) {
+    if (headers.misdirected() || (!headers.genuine() && !headers.notRun())) {
+      return;
+    }
+    applyLimit(server, headers);
+  }
+
+  private void applyLimit(ServerState server, ServerResponseHeaders headers) {
+    long nowNanos = clock.monotonicNanos();
+    boolean limitedBefore = server.limit().ownPerSecond(nowNanos) != NamedLimit.UNLIMITED;
+    server.limit().onResponse(headers.limitPerSecond(), nowNanos);
+    boolean limited = headers.limitPerSecond().isPresent();
+    if (limited && !limitedBefore) {
+      Logger.info(
+          "event=server-limited server={} limit-per-second={}",
+          server.entry().id(),
+          headers.limitPerSecond().getAsDouble());
+    } else if (!limited && limitedBefore) {
+      Logger.info("event=server-limit-ended server={}", server.entry().id());
+    }
+  }
+}
--- a/gateway/src/main/java/org/bambooarch/gateway/relay/RelayExchange.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/relay/RelayExchange.java
@@ -51,6 +51,7 @@
   private final ClientRequestBody body;
   private final long deadlineNanos;
   private final ScheduledFuture<?> timeout;
+  private ServerState server;
   private TargetRequestHandle requestHandle;
   private BufferedResponseRelay relay;
   private boolean finished;
@@ -121,7 +122,8 @@
     }
   }
 
-  private void sendTo(ServerState server, long timeoutMillis) {
+  private void sendTo(ServerState chosen, long timeoutMillis) {
+    server = chosen;
     HttpHeaders headersToServer = context.requestFormat().toServerRequest(headers, timeoutMillis);
     // Whether the request is idempotent is not known here, so it is sent as if it were not.
     TargetRequest request =
@@ -180,6 +182,7 @@
 
   @Override
   public void onResponseHead(HttpResponse head, ServerResponseHeaders responseHeaders) {
+    state.serverDirectives().onResponseHead(server, responseHeaders);
     relay =
         new BufferedResponseRelay(
             writer,
--- a/gateway/src/main/java/org/bambooarch/gateway/request/ServerAttempt.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/ServerAttempt.java
@@ -147,6 +147,7 @@
       HttpResponse newResponseHead, ServerResponseHeaders newResponseHeaders) {
     responseHead = newResponseHead;
     responseHeaders = newResponseHeaders;
+    state.serverDirectives().onResponseHead(server, responseHeaders);
     if (!responseHeaders.genuine()) {
       return;
     }
--- a/gateway/src/main/java/org/bambooarch/gateway/spi/ServerResponseHeaders.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/spi/ServerResponseHeaders.java
@@ -1,6 +1,7 @@
 package org.bambooarch.gateway.spi;
 
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 
 /**
@@ -15,6 +16,8 @@
  * @param load the server's load, if stated
  * @param keepAliveMillis how long the connection may be idle before the server closes it, in
  *     milliseconds, if stated
+ * @param limitPerSecond requests per second that the server takes from all instances together, if
+ *     stated
  */
 public record ServerResponseHeaders(
     String requestId,
@@ -22,7 +25,8 @@
     boolean notRun,
     boolean misdirected,
     Optional<Load> load,
-    OptionalLong keepAliveMillis) {
+    OptionalLong keepAliveMillis,
+    OptionalDouble limitPerSecond) {
 
   /**
    * Load of a server when it responded.
--- a/gateway/src/main/java/org/bambooarch/gateway/warmup/WarmUpFormat.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/warmup/WarmUpFormat.java
@@ -36,7 +36,8 @@
         headers.notRun(),
         headers.misdirected(),
         headers.load(),
-        headers.keepAliveMillis());
+        headers.keepAliveMillis(),
+        headers.limitPerSecond());
   }
 
   @Override
