Keep to the limits that servers name, all instances together

Cause: nothing that an instance did depended on the limit. Arrivals at both servers were the same before and after they began to name it. The class of fault: a constraint over all instances that no instance knows of, and that none could keep alone.

Change: a server's limit is divided equally among a few owners, instances of its region chosen by rendezvous hashing as for cold servers, whose class is now ServerOwners for both. Each sends at its part and saves up one token at most. An instance that forwards for another one takes from its own share. Instances that may be alive behind a partition keep their shares for 10 s.

--- a/core/src/main/java/org/bambooarch/core/steering/fleet/FleetTable.java
+++ b/core/src/main/java/org/bambooarch/core/steering/fleet/FleetTable.java
@@ -140,6 +140,24 @@
     return heartbeatsWithin(POSSIBLY_ALIVE_NANOS, nowNanos);
   }
 
+  /**
+   * Returns the other instances that may be sending requests to servers: those that are live, that
+   * may be alive behind a network partition, or that the platform has listed lately, without those
+   * that have reported that they take no callers or reach no server.
+   */
+  public List<InstanceIdentity> possibleSenders(long nowNanos) {
+    List<InstanceIdentity> senders = new ArrayList<>();
+    for (Peer peer : peers.values()) {
+      boolean mayBeAlive = nowNanos - lastSeenNanos(peer) < POSSIBLY_ALIVE_NANOS;
+      boolean mayBeSending =
+          !peer.heard || (peer.newest.takesCallers() && !peer.newest.partitionedFromServers());
+      if (mayBeAlive && mayBeSending) {
+        senders.add(peer.identity);
+      }
+    }
+    return senders;
+  }
+
   private List<Heartbeat> heartbeatsWithin(long nanos, long nowNanos) {
     List<Heartbeat> heard = new ArrayList<>();
     for (Peer peer : peers.values()) {
--- a/core/src/main/java/org/bambooarch/core/steering/fleet/Heartbeat.java
+++ b/core/src/main/java/org/bambooarch/core/steering/fleet/Heartbeat.java
@@ -14,6 +14,8 @@
  * @param customerAdmitted requests that it admitted in the last window of the customers' limits, by
  *     the same hash
  * @param inFlight number of its requests that each server has, by a hash of the server's name
+ * @param serverLimits limits that servers have named to it, in requests per second from all
+ *     instances together, by the same hash
  * @param crashes crashes of servers while they ran its requests, newest last
  */
 public record Heartbeat(
@@ -24,6 +26,7 @@
     Map<Integer, Double> customerDemand,
     Map<Integer, Integer> customerAdmitted,
     Map<Integer, Integer> inFlight,
+    Map<Integer, Double> serverLimits,
     List<ServerCrash> crashes) {
 
   /**
@@ -39,6 +42,7 @@
     customerDemand = Map.copyOf(customerDemand);
     customerAdmitted = Map.copyOf(customerAdmitted);
     inFlight = Map.copyOf(inFlight);
+    serverLimits = Map.copyOf(serverLimits);
     crashes = List.copyOf(crashes);
   }
 }
--- a/core/src/main/java/org/bambooarch/core/steering/place/NamedLimit.java
+++ b/core/src/main/java/org/bambooarch/core/steering/place/NamedLimit.java
@@ -6,6 +6,9 @@
  * The limit of requests per second from all instances together that a server names in its
  * responses, for as long as it does so.
  *
+ * <p>Responses to this instance count first. Without recent ones, which is the case where only
+ * other instances may send requests to the server, what those report in their heartbeats counts.
+ *
  * <p>Not thread-safe.
  */
 public final class NamedLimit {
@@ -19,8 +22,16 @@
    */
   static final long VALID_NANOS = 5_000_000_000L;
 
+  /**
+   * Time after a response without a limit in which the other instances' reports do not count, in
+   * nanoseconds: 1 s. They may be older than that response.
+   */
+  static final long ABSENCE_VALID_NANOS = 1_000_000_000L;
+
   private double ownPerSecond = UNLIMITED;
   private long ownNanos;
+  private boolean responded;
+  private double reportedPerSecond = UNLIMITED;
 
   /**
    * Records the limit that a response of the server names.
@@ -31,6 +42,25 @@
   public void onResponse(OptionalDouble perSecond, long nowNanos) {
     ownPerSecond = perSecond.orElse(UNLIMITED);
     ownNanos = nowNanos;
+    responded = true;
+  }
+
+  /**
+   * Replaces what the other instances report.
+   *
+   * @param perSecond the lowest limit that they report, in requests per second, or {@link
+   *     #UNLIMITED}
+   */
+  void setReported(double perSecond) {
+    reportedPerSecond = perSecond;
+  }
+
+  /** Returns the limit that holds, in requests per second, or {@link #UNLIMITED}. */
+  double perSecond(long nowNanos) {
+    boolean absent =
+        responded && ownPerSecond == UNLIMITED && nowNanos - ownNanos < ABSENCE_VALID_NANOS;
+    double own = ownPerSecond(nowNanos);
+    return absent || own != UNLIMITED ? own : reportedPerSecond;
   }
 
   /**
@@ -38,11 +68,13 @@
    * {@link #UNLIMITED}.
    */
   public double ownPerSecond(long nowNanos) {
-    return nowNanos - ownNanos < VALID_NANOS ? ownPerSecond : UNLIMITED;
+    return responded && nowNanos - ownNanos < VALID_NANOS ? ownPerSecond : UNLIMITED;
   }
 
   /** Forgets the limit; call when the server was started again. */
   void reset() {
     ownPerSecond = UNLIMITED;
+    reportedPerSecond = UNLIMITED;
+    responded = false;
   }
 }
--- a/core/src/main/java/org/bambooarch/core/steering/place/ServerChooser.java
+++ b/core/src/main/java/org/bambooarch/core/steering/place/ServerChooser.java
@@ -52,13 +52,19 @@
   /** Added to the processing time for each rank after the first, as a fraction of that time. */
   private static final double RANK_PENALTY = 0.1;
 
+  /**
+   * Number of instances that may send to the same cold server, each at an equal part of its rate.
+   */
+  private static final int OWNERS_PER_COLD_SERVER = 2;
+
   private static final double NANOS_PER_MILLI = 1e6;
   private static final long MIN_RETRY_AFTER_MILLIS = 100;
   private static final long MAX_RETRY_AFTER_MILLIS = 2_000;
 
   private final ServerTable table;
   private final RegionSpillover spillover;
-  private final ColdServerOwners coldOwners;
+  private final ServerOwners coldOwners;
+  private final LimitShares limitShares;
   private final String region;
   private final ProcessingTimes processingTimes = new ProcessingTimes();
   private final OverflowBudget overflowBudget = new OverflowBudget();
@@ -71,12 +77,15 @@
    * @param table the servers to choose from
    * @param region region of this instance and its callers
    * @param coldOwners decides whether this instance may send to a cold server
+   * @param limitShares decides whether this instance may send to a server that names a limit
    */
-  public ServerChooser(ServerTable table, String region, ColdServerOwners coldOwners) {
+  public ServerChooser(
+      ServerTable table, String region, ServerOwners coldOwners, LimitShares limitShares) {
     this.table = table;
     this.region = region;
     this.spillover = new RegionSpillover(region);
     this.coldOwners = coldOwners;
+    this.limitShares = limitShares;
   }
 
   /** Chooses a server, or returns when one may have capacity. */
@@ -86,7 +95,8 @@
     for (ServerState server : available) {
       if (!query.excludedServers().contains(server.entry().id())
           && isInHomeRegions(query, server)
-          && !server.isAvoided(nowNanos)) {
+          && !server.isAvoided(nowNanos)
+          && limitShares.permits(server, nowNanos)) {
         usable.add(server);
       }
     }
@@ -97,21 +107,25 @@
       if (!server.isCold(nowNanos)) {
         notCold.add(server);
       } else if (tryUseColdServer(server, policy, nowNanos)) {
-        return new Placement.Chosen(server, server.load(nowNanos));
+        return chosen(server, nowNanos);
       }
     }
     List<Candidate> candidates = candidates(query, notCold, nowNanos);
     Optional<ServerState> best =
         earliestAnswer(query, candidates).or(() -> overflow(query, preferred, usable, nowNanos));
     if (best.isPresent()) {
-      ServerState server = best.get();
-      return new Placement.Chosen(server, server.load(nowNanos));
+      return chosen(best.get(), nowNanos);
     }
     return new Placement.NoRoom(
         retryAfterMillis(query, usable, nowNanos),
         noRoomDetails(query, preferred, available.size(), usable, candidates, nowNanos));
   }
 
+  private Placement chosen(ServerState server, long nowNanos) {
+    limitShares.tryTake(server, nowNanos);
+    return new Placement.Chosen(server, server.load(nowNanos));
+  }
+
   /** Returns the best server outside the preferred region, if the overflow budget permits one. */
   private Optional<ServerState> overflow(
       PlacementQuery query, String preferred, List<ServerState> usable, long nowNanos) {
@@ -238,9 +252,9 @@
 
   private boolean tryUseColdServer(ServerState server, ServicePolicy policy, long nowNanos) {
     return server.load(nowNanos) < server.entry().slots()
-        && coldOwners.isOwner(server)
+        && coldOwners.isOwner(server, OWNERS_PER_COLD_SERVER)
         && server.tryTakeColdToken(
-            policy.coldRequestsPerSecond() / ColdServerOwners.OWNERS_PER_SERVER, nowNanos);
+            policy.coldRequestsPerSecond() / OWNERS_PER_COLD_SERVER, nowNanos);
   }
 
   private double processingNanos(
--- a/core/src/main/java/org/bambooarch/core/steering/place/ServerState.java
+++ b/core/src/main/java/org/bambooarch/core/steering/place/ServerState.java
@@ -31,6 +31,9 @@
 
   private final int idHash;
   private final long rendezvousSeed;
+  private final SingleTokenBucket coldTokens;
+  private final SingleTokenBucket limitTokens;
+  private final NamedLimit limit = new NamedLimit();
   private ServerEntry entry;
   private String region;
   private int ownInFlight;
@@ -47,9 +50,6 @@
   private boolean connectionRefused;
   private boolean ejectedForConnection;
   private boolean partitioned;
-  private double coldTokens;
-  private long coldRefilledNanos;
-  private final NamedLimit limit = new NamedLimit();
 
   ServerState(ServerEntry entry, String region, long nowNanos) {
     this.entry = entry;
@@ -59,7 +59,8 @@
     this.ejectedUntilNanos = nowNanos;
     this.fullUntilNanos = nowNanos;
     this.coldUntilNanos = nowNanos;
-    this.coldRefilledNanos = nowNanos;
+    this.coldTokens = new SingleTokenBucket(nowNanos);
+    this.limitTokens = new SingleTokenBucket(nowNanos);
   }
 
   /** Returns what the server last reported of itself. */
@@ -139,14 +140,7 @@
 
   /** Takes a token for one request to the cold server, of which one at most is saved up. */
   boolean tryTakeColdToken(double perSecond, long nowNanos) {
-    double seconds = (nowNanos - coldRefilledNanos) / 1e9;
-    coldTokens = Math.min(1, coldTokens + seconds * perSecond);
-    coldRefilledNanos = nowNanos;
-    if (coldTokens < 1) {
-      return false;
-    }
-    coldTokens--;
-    return true;
+    return coldTokens.tryTake(perSecond, nowNanos);
   }
 
   /** Records that a request is being sent to the server. */
@@ -252,6 +246,11 @@
     return limit;
   }
 
+  /** Returns the tokens for requests to the server while it names a limit. */
+  SingleTokenBucket limitTokens() {
+    return limitTokens;
+  }
+
   private void recordOutcome(boolean failure) {
     failureRate += SAMPLE_WEIGHT * ((failure ? 1 : 0) - failureRate);
     if (!failure && failureRate < EJECTION_FAILURE_RATE / 2) {
--- a/core/src/main/java/org/bambooarch/core/steering/place/ServerTable.java
+++ b/core/src/main/java/org/bambooarch/core/steering/place/ServerTable.java
@@ -207,6 +207,33 @@
     }
   }
 
+  /**
+   * Sets the lowest limit that the other instances report for each server, in requests per second;
+   * a missing hash means none.
+   */
+  public void updateReportedLimits(Map<Integer, Double> limitsByServerHash) {
+    for (ServerState server : servers.values()) {
+      server
+          .limit()
+          .setReported(limitsByServerHash.getOrDefault(server.idHash(), NamedLimit.UNLIMITED));
+    }
+  }
+
+  /**
+   * Returns the limits that servers have named to this instance, in requests per second, by hash of
+   * the server's name, for heartbeats.
+   */
+  public Map<Integer, Double> ownLimits(long nowNanos) {
+    Map<Integer, Double> limits = new HashMap<>();
+    for (ServerState server : servers.values()) {
+      double perSecond = server.limit().ownPerSecond(nowNanos);
+      if (perSecond != NamedLimit.UNLIMITED) {
+        limits.put(server.idHash(), perSecond);
+      }
+    }
+    return limits;
+  }
+
   /** Returns this instance's requests in flight by hash of the server's name, for heartbeats. */
   public Map<Integer, Integer> ownInFlight() {
     Map<Integer, Integer> inFlight = new HashMap<>();
--- a/core/src/test/java/org/bambooarch/core/steering/fleet/InstanceDirectoryTest.java
+++ b/core/src/test/java/org/bambooarch/core/steering/fleet/InstanceDirectoryTest.java
@@ -24,7 +24,15 @@
       InstanceIdentity sender, boolean takesCallers, boolean partitioned, long atMillis) {
     fleet.onHeartbeat(
         new Heartbeat(
-            sender, takesCallers, partitioned, 1, Map.of(), Map.of(), Map.of(), List.of()),
+            sender,
+            takesCallers,
+            partitioned,
+            1,
+            Map.of(),
+            Map.of(),
+            Map.of(),
+            Map.of(),
+            List.of()),
         atMillis * NANOS_PER_MILLI);
   }
 
--- a/core/src/test/java/org/bambooarch/core/steering/fleet/RelayChoiceTest.java
+++ b/core/src/test/java/org/bambooarch/core/steering/fleet/RelayChoiceTest.java
@@ -18,7 +18,15 @@
         new InstanceIdentity(name, 1, region, region + "-a", name + ":80", name + ":90");
     heartbeats.add(
         new Heartbeat(
-            sender, takesCallers, partitioned, 1, Map.of(), Map.of(), Map.of(), List.of()));
+            sender,
+            takesCallers,
+            partitioned,
+            1,
+            Map.of(),
+            Map.of(),
+            Map.of(),
+            Map.of(),
+            List.of()));
   }
 
   private Set<String> chosen(Set<String> homeRegions) {
--- a/core/src/test/java/org/bambooarch/core/steering/fleet/SimulatedFleet.java
+++ b/core/src/test/java/org/bambooarch/core/steering/fleet/SimulatedFleet.java
@@ -99,6 +99,7 @@
               limiters.get(from).demandByCustomerHash(),
               limiters.get(from).reportAdmitted(nowNanos()),
               Map.of(),
+              Map.of(),
               List.of());
       for (int to = 0; to < INSTANCES; to++) {
         if (from != to && link.delivers(from, to)) {
--- a/core/src/test/java/org/bambooarch/core/steering/load/FleetSimulation.java
+++ b/core/src/test/java/org/bambooarch/core/steering/load/FleetSimulation.java
@@ -18,11 +18,12 @@
 import org.bambooarch.core.steering.load.SimulatedDeployment.DataCentre;
 import org.bambooarch.core.steering.load.SimulatedDeployment.RequestKind;
 import org.bambooarch.core.steering.load.SimulatedDeployment.Service;
-import org.bambooarch.core.steering.place.ColdServerOwners;
+import org.bambooarch.core.steering.place.LimitShares;
 import org.bambooarch.core.steering.place.Placement;
 import org.bambooarch.core.steering.place.PlacementQuery;
 import org.bambooarch.core.steering.place.ServerChooser;
 import org.bambooarch.core.steering.place.ServerEntry;
+import org.bambooarch.core.steering.place.ServerOwners;
 import org.bambooarch.core.steering.place.ServerState;
 import org.bambooarch.core.steering.place.ServerTable;
 
@@ -182,9 +183,10 @@
   private void start(Instance instance) {
     instance.table = new ServerTable(deployment.regionByDataCentre());
     instance.table.replaceAll(entries, 0, clock.nowNanos());
+    ServerOwners owners = new ServerOwners(instance.identity);
     instance.chooser =
         new ServerChooser(
-            instance.table, instance.identity.region(), new ColdServerOwners(instance.identity));
+            instance.table, instance.identity.region(), owners, new LimitShares(owners));
     instance.inFlightOfPeers.clear();
   }
 
--- a/core/src/test/java/org/bambooarch/core/steering/load/PeakLoadSimulation.java
+++ b/core/src/test/java/org/bambooarch/core/steering/load/PeakLoadSimulation.java
@@ -9,11 +9,12 @@
 import org.bambooarch.core.steering.config.ServicePolicy;
 import org.bambooarch.core.steering.fleet.InstanceIdentity;
 import org.bambooarch.core.steering.hash.Hashes;
-import org.bambooarch.core.steering.place.ColdServerOwners;
+import org.bambooarch.core.steering.place.LimitShares;
 import org.bambooarch.core.steering.place.Placement;
 import org.bambooarch.core.steering.place.PlacementQuery;
 import org.bambooarch.core.steering.place.ServerChooser;
 import org.bambooarch.core.steering.place.ServerEntry;
+import org.bambooarch.core.steering.place.ServerOwners;
 import org.bambooarch.core.steering.place.ServerState;
 import org.bambooarch.core.steering.place.ServerTable;
 
@@ -52,7 +53,8 @@
     final ServerChooser chooser;
 
     Instance(InstanceIdentity identity) {
-      chooser = new ServerChooser(table, "north", new ColdServerOwners(identity));
+      ServerOwners owners = new ServerOwners(identity);
+      chooser = new ServerChooser(table, "north", owners, new LimitShares(owners));
     }
   }
 
--- a/core/src/test/java/org/bambooarch/core/steering/place/ServerChooserTest.java
+++ b/core/src/test/java/org/bambooarch/core/steering/place/ServerChooserTest.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.Set;
 import org.bambooarch.core.steering.config.ServicePolicy;
-import org.bambooarch.core.steering.fleet.Heartbeat;
 import org.bambooarch.core.steering.fleet.InstanceIdentity;
 import org.bambooarch.core.steering.hash.Hashes;
 import org.junit.jupiter.api.Test;
@@ -44,7 +43,8 @@
   private final ServerChooser chooser = chooserOf("entry-1", table);
 
   private static ServerChooser chooserOf(String name, ServerTable table) {
-    return new ServerChooser(table, "north", new ColdServerOwners(instance(name, "north")));
+    ServerOwners owners = new ServerOwners(instance(name, "north"));
+    return new ServerChooser(table, "north", owners, new LimitShares(owners));
   }
 
   private void replaceServers(String... dataCentres) {
@@ -267,17 +267,13 @@
     List<ServerTable> tables = new ArrayList<>();
     List<ServerChooser> choosers = new ArrayList<>();
     for (InstanceIdentity self : identities) {
-      ColdServerOwners owners = new ColdServerOwners(self);
-      owners.onLiveInstances(
-          identities.stream()
-              .filter(other -> !other.equals(self))
-              .map(ServerChooserTest::heartbeatOf)
-              .toList());
+      ServerOwners owners = new ServerOwners(self);
+      owners.onOtherInstances(identities.stream().filter(other -> !other.equals(self)).toList());
       ServerTable own = new ServerTable(REGIONS);
       own.replaceAll(List.of(), 0, 0);
       own.put(server(0, "north-a"), 600_000, 0);
       tables.add(own);
-      choosers.add(new ServerChooser(own, self.region(), owners));
+      choosers.add(new ServerChooser(own, self.region(), owners, new LimitShares(owners)));
     }
     List<Long> sentMillis = new ArrayList<>();
     for (long millis = 0; millis < 20_000; millis += 20) {
@@ -299,8 +295,4 @@
       assertThat((double) within).isLessThanOrEqualTo(4.2 * 1.5 + 5);
     }
   }
-
-  private static Heartbeat heartbeatOf(InstanceIdentity identity) {
-    return new Heartbeat(identity, true, false, 1, Map.of(), Map.of(), Map.of(), List.of());
-  }
 }
--- a/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
@@ -18,9 +18,10 @@
 import org.bambooarch.core.steering.fleet.InstanceIdentity;
 import org.bambooarch.core.steering.fleet.RelayChoice;
 import org.bambooarch.core.steering.fleet.ServiceRetryBudgets;
-import org.bambooarch.core.steering.place.ColdServerOwners;
+import org.bambooarch.core.steering.place.LimitShares;
 import org.bambooarch.core.steering.place.ServerChooser;
 import org.bambooarch.core.steering.place.ServerEntry;
+import org.bambooarch.core.steering.place.ServerOwners;
 import org.bambooarch.core.steering.place.ServerReachability;
 import org.bambooarch.core.steering.place.ServerState;
 import org.bambooarch.core.steering.place.ServerTable;
@@ -62,7 +63,9 @@
   private final ServerReachability reachability;
   private final ServerDirectives serverDirectives;
   private final ServerChooser chooser;
-  private final ColdServerOwners coldOwners;
+  private final ServerOwners coldOwners;
+  private final ServerOwners limitOwners;
+  private final LimitShares limitShares;
   private final CustomerRateLimiter rateLimiter;
   private final CrashHistory crashes = new CrashHistory();
   private final ServiceRetryBudgets retries;
@@ -83,8 +86,11 @@
     this.servers = new ServerTable(settings.regionByDataCentre());
     this.reachability = new ServerReachability(servers);
     this.serverDirectives = new ServerDirectives(clock);
-    this.coldOwners = new ColdServerOwners(settings.identity());
-    this.chooser = new ServerChooser(servers, settings.identity().region(), coldOwners);
+    this.coldOwners = new ServerOwners(settings.identity());
+    this.limitOwners = new ServerOwners(settings.identity());
+    this.limitShares = new LimitShares(limitOwners);
+    this.chooser =
+        new ServerChooser(servers, settings.identity().region(), coldOwners, limitShares);
     this.rateLimiter = new CustomerRateLimiter(fleet, settings.quotaTolerance());
     int typicalInstances = Math.max(1, 2 * settings.regionByDataCentre().size());
     this.retries =
@@ -273,7 +279,9 @@
     fleet.tick(nowNanos);
     servers.tick(nowNanos);
     servers.updatePeersInFlight(sumInFlight(live));
-    coldOwners.onLiveInstances(live);
+    servers.updateReportedLimits(lowestLimits(live));
+    coldOwners.onOtherInstances(takingCallers(live));
+    limitOwners.onOtherInstances(fleet.possibleSenders(nowNanos));
     if (config != null) {
       rateLimiter.tick(config, nowNanos, nowNanos - lastTickNanos);
       chooser.tick(services(), nowNanos);
@@ -310,6 +318,20 @@
     return sums;
   }
 
+  private static Map<Integer, Double> lowestLimits(List<Heartbeat> live) {
+    Map<Integer, Double> limits = new HashMap<>();
+    for (Heartbeat heartbeat : live) {
+      heartbeat
+          .serverLimits()
+          .forEach((server, perSecond) -> limits.merge(server, perSecond, Math::min));
+    }
+    return limits;
+  }
+
+  private static List<InstanceIdentity> takingCallers(List<Heartbeat> live) {
+    return live.stream().filter(Heartbeat::takesCallers).map(Heartbeat::sender).toList();
+  }
+
   /**
    * Returns a heartbeat with the current state of this instance. It must be sent at once: the
    * requests that it reports as admitted count as known to the other instances from then on.
@@ -323,6 +345,7 @@
         rateLimiter.demandByCustomerHash(),
         rateLimiter.reportAdmitted(clock.monotonicNanos()),
         servers.ownInFlight(),
+        servers.ownLimits(clock.monotonicNanos()),
         crashes.recentOwnCrashes(clock.monotonicNanos()));
   }
 
@@ -391,6 +414,11 @@
     return serverDirectives;
   }
 
+  /** Returns this instance's shares of the limits that servers name. */
+  public LimitShares limitShares() {
+    return limitShares;
+  }
+
   /** Returns the component that chooses a server for each request. */
   public ServerChooser chooser() {
     return chooser;
--- a/gateway/src/test/java/org/bambooarch/gateway/control/ControlStateTest.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/control/ControlStateTest.java
@@ -34,7 +34,7 @@
     InstanceIdentity sender =
         new InstanceIdentity("entry-2", 1, "north", "north-b", "10.0.0.2:1", "10.0.0.2:2");
     return new Heartbeat(
-        sender, true, false, configVersion, Map.of(), Map.of(), Map.of(), List.of());
+        sender, true, false, configVersion, Map.of(), Map.of(), Map.of(), Map.of(), List.of());
   }
 
   // Regression: an instance that the store turned away refused keys that other instances knew.
--- a/peer/src/main/java/org/bambooarch/peer/codec/HeartbeatCodec.java
+++ b/peer/src/main/java/org/bambooarch/peer/codec/HeartbeatCodec.java
@@ -20,10 +20,14 @@
 public final class HeartbeatCodec {
 
   private static final double HUNDREDTHS_PER_REQUEST = 100;
+  private static final double THOUSANDTHS_PER_REQUEST = 1_000;
 
   private HeartbeatCodec() {}
 
-  /** Returns the encoded heartbeat; demands are rounded to hundredths of a request per second. */
+  /**
+   * Returns the encoded heartbeat; demands are rounded to hundredths and limits to thousandths of a
+   * request per second.
+   */
   public static byte[] encode(Heartbeat heartbeat) {
     InstanceIdentity sender = heartbeat.sender();
     HeartbeatMessage.Builder message =
@@ -49,12 +53,21 @@
     heartbeat
         .inFlight()
         .forEach((server, requests) -> message.addServers(server).addInFlight(requests));
+    heartbeat
+        .serverLimits()
+        .forEach(
+            (server, perSecond) ->
+                message.addLimitedServers(server).addLimitsMilli(toThousandths(perSecond)));
     for (Heartbeat.ServerCrash crash : heartbeat.crashes()) {
       message.addCrashRequests(crash.requestHash()).addCrashServers(crash.serverHash());
     }
     return message.build().toByteArray();
   }
 
+  private static int toThousandths(double perSecond) {
+    return (int) Math.min(Integer.MAX_VALUE, Math.round(perSecond * THOUSANDTHS_PER_REQUEST));
+  }
+
   /**
    * Returns the heartbeat that a datagram holds.
    *
@@ -66,6 +79,7 @@
     if (message.getCustomersCount() != message.getDemandsCentiCount()
         || message.getCustomersCount() != message.getAdmittedCount()
         || message.getServersCount() != message.getInFlightCount()
+        || message.getLimitedServersCount() != message.getLimitsMilliCount()
         || message.getCrashRequestsCount() != message.getCrashServersCount()) {
       throw new InvalidProtocolBufferException(
           "heartbeat with parallel columns of different lengths");
@@ -80,6 +94,10 @@
     for (int i = 0; i < message.getServersCount(); i++) {
       inFlight.put(message.getServers(i), message.getInFlight(i));
     }
+    Map<Integer, Double> limits = new HashMap<>();
+    for (int i = 0; i < message.getLimitedServersCount(); i++) {
+      limits.put(message.getLimitedServers(i), message.getLimitsMilli(i) / THOUSANDTHS_PER_REQUEST);
+    }
     List<Heartbeat.ServerCrash> crashes = new ArrayList<>();
     for (int i = 0; i < message.getCrashRequestsCount(); i++) {
       crashes.add(
@@ -101,6 +119,7 @@
         demand,
         admitted,
         inFlight,
+        limits,
         crashes);
   }
 }
--- a/peer/src/test/java/org/bambooarch/peer/codec/HeartbeatCodecTest.java
+++ b/peer/src/test/java/org/bambooarch/peer/codec/HeartbeatCodecTest.java
@@ -2,10 +2,12 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
 import org.bambooarch.core.steering.fleet.Heartbeat;
 import org.bambooarch.core.steering.fleet.InstanceIdentity;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -28,8 +30,33 @@
             Map.of(5, 2.25),
             Map.of(5, 3),
             Map.of(9, 1),
+            Map.of(9, 9.7),
             List.of(new Heartbeat.ServerCrash(4, 9)));
 
     assertThat(HeartbeatCodec.decode(HeartbeatCodec.encode(heartbeat))).isEqualTo(heartbeat);
   }
+
+  @Test
+  void should_decode_a_heartbeat_of_a_build_that_reports_no_limits() throws Exception {
+    // Encoded by commit 18674ce.
+    byte[] bytes =
+        HexFormat.of()
+            .parseHex(
+                "0a07656e7472792d311107000000000000001a056e6f72746822076e6f7274682d612a0b3130"
+                    + "2e302e302e313a3830320d31302e302e302e313a373630303801400c4a04050000005202e1"
+                    + "015a04090000006201016a0804000000000000007204090000007a0103");
+
+    assertThat(HeartbeatCodec.decode(bytes))
+        .isEqualTo(
+            new Heartbeat(
+                SENDER,
+                true,
+                false,
+                12,
+                Map.of(5, 2.25),
+                Map.of(5, 3),
+                Map.of(9, 1),
+                Map.of(),
+                List.of(new Heartbeat.ServerCrash(4, 9))));
+  }
 }
