--- a/gateway/src/main/java/org/bambooarch/gateway/control/ServerDirectives.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ServerDirectives.java
@@ -30,6 +30,11 @@
       return;
     }
     applyLimit(server, headers);
+    headers.restMillis().ifPresent(millis -> applyRest(server, millis));
+  }
+
+  private static void applyRest(ServerState server, long millis) {
+    Logger.info("event=server-resting server={} for-millis={}", server.entry().id(), millis);
   }
 
   private void applyLimit(ServerState server, ServerResponseHeaders headers) {
--- a/gateway/src/main/java/org/bambooarch/gateway/spi/ServerResponseHeaders.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/spi/ServerResponseHeaders.java
@@ -18,6 +18,8 @@
  *     milliseconds, if stated
  * @param limitPerSecond requests per second that the server takes from all instances together, if
  *     stated
+ * @param restMillis for how long the server wants no requests from this instance, in milliseconds,
+ *     if it turned the request away and stated so
  */
 public record ServerResponseHeaders(
     String requestId,
@@ -26,7 +28,8 @@
     boolean misdirected,
     Optional<Load> load,
     OptionalLong keepAliveMillis,
-    OptionalDouble limitPerSecond) {
+    OptionalDouble limitPerSecond,
+    OptionalLong restMillis) {
 
   /**
    * Load of a server when it responded.
--- a/gateway/src/main/java/org/bambooarch/gateway/warmup/WarmUpFormat.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/warmup/WarmUpFormat.java
@@ -37,7 +37,8 @@
         headers.misdirected(),
         headers.load(),
         headers.keepAliveMillis(),
-        headers.limitPerSecond());
+        headers.limitPerSecond(),
+        headers.restMillis());
   }
 
   @Override
