Send nothing to a server until the rest that it asked for has ended

While four of twelve servers did so, up to 59 sends a second were spent on them from the retry budget, and callers got 503 where it was used up.

Cause: instances did not read Retry-After in responses of servers; a server that turned a request away was avoided for 0.15 s. The class of fault: a back-off of our own takes the place of the one that the other side states.

Change: the server is avoided until the stated time ends. A shorter statement does not shorten it, the end of a partition from all servers does not end it, a restart of the server does. An instance that forwards for another one refuses as not sent.

--- a/core/src/main/java/org/bambooarch/core/steering/place/ServerState.java
+++ b/core/src/main/java/org/bambooarch/core/steering/place/ServerState.java
@@ -46,6 +46,7 @@
   private int ejections;
   private long ejectedUntilNanos;
   private long fullUntilNanos;
+  private long restUntilNanos;
   private long coldUntilNanos;
   private boolean connectionRefused;
   private boolean ejectedForConnection;
@@ -58,6 +59,7 @@
     this.rendezvousSeed = Hashes.of(entry.id());
     this.ejectedUntilNanos = nowNanos;
     this.fullUntilNanos = nowNanos;
+    this.restUntilNanos = nowNanos;
     this.coldUntilNanos = nowNanos;
     this.coldTokens = new SingleTokenBucket(nowNanos);
     this.limitTokens = new SingleTokenBucket(nowNanos);
@@ -91,6 +93,7 @@
     if (restarted) {
       failureRate = 0;
       ejectedUntilNanos = nowNanos;
+      restUntilNanos = nowNanos;
       limit.reset();
     }
     if (newer.coldLeftMillis() > 0) {
@@ -133,9 +136,27 @@
     return nowNanos - coldUntilNanos < 0;
   }
 
-  /** Returns whether the server is ejected, or was overloaded within the back-off time. */
+  /**
+   * Returns whether the server is ejected or resting, or was overloaded within the back-off time.
+   */
   boolean isAvoided(long nowNanos) {
-    return nowNanos - ejectedUntilNanos < 0 || nowNanos - fullUntilNanos < 0;
+    return nowNanos - ejectedUntilNanos < 0 || nowNanos - fullUntilNanos < 0 || isResting(nowNanos);
+  }
+
+  /** Returns whether the server wants no requests from this instance, as it stated itself. */
+  public boolean isResting(long nowNanos) {
+    return nowNanos - restUntilNanos < 0;
+  }
+
+  /**
+   * Records that the server wants no requests from this instance for some time from now on; never
+   * shortens a longer time.
+   */
+  public void onRestAsked(long millis, long nowNanos) {
+    long untilNanos = nowNanos + millis * 1_000_000L;
+    if (untilNanos - restUntilNanos > 0) {
+      restUntilNanos = untilNanos;
+    }
   }
 
   /** Takes a token for one request to the cold server, of which one at most is saved up. */
--- a/gateway/src/main/java/org/bambooarch/gateway/control/ServerDirectives.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ServerDirectives.java
@@ -33,7 +33,8 @@
     headers.restMillis().ifPresent(millis -> applyRest(server, millis));
   }
 
-  private static void applyRest(ServerState server, long millis) {
+  private void applyRest(ServerState server, long millis) {
+    server.onRestAsked(millis, clock.monotonicNanos());
     Logger.info("event=server-resting server={} for-millis={}", server.entry().id(), millis);
   }
 
--- a/gateway/src/main/java/org/bambooarch/gateway/relay/RelayExchange.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/relay/RelayExchange.java
@@ -117,6 +117,8 @@
       respond(RelayHeaders.Outcome.NOT_SENT, "stopping");
     } else if (timeoutMillis <= 0) {
       respond(RelayHeaders.Outcome.NOT_SENT, "too-late");
+    } else if (server.get().isResting(state.clock().monotonicNanos())) {
+      respond(RelayHeaders.Outcome.NOT_SENT, "resting");
     } else if (!state.limitShares().tryTake(server.get(), state.clock().monotonicNanos())) {
       respond(RelayHeaders.Outcome.NOT_SENT, "limited");
     } else {
