Send nothing more to a server that states in a response that it leaves

A server that leaves says so in its responses from now on, and no request may reach it later than the drain bound after an instance has passed on such a response. Instances went by the store's entry only, which changes later or not at all: some servers never report there that they drain.

Change: the server gets no further request under the same start time. That is kept beside the table, since an entry may be removed and listed again while the store returns from an outage.

--- a/core/src/main/java/org/bambooarch/core/steering/place/ServerTable.java
+++ b/core/src/main/java/org/bambooarch/core/steering/place/ServerTable.java
@@ -42,6 +42,7 @@
   private final Map<String, Long> graceEndNanosByMissingId = new HashMap<>();
   private final Set<String> lapsedIds = new HashSet<>();
   private final Set<String> evacuatedDataCentres = new HashSet<>();
+  private final LeavingServers leaving = new LeavingServers();
   private final DepartedServers departed = new DepartedServers();
   private long graceEndNanos;
   private boolean graceStarted;
@@ -175,6 +176,15 @@
     }
   }
 
+  /**
+   * Stops requests to a server that stated in a response that it leaves, until it is started again.
+   *
+   * @return false if it had stated so before
+   */
+  public boolean onLeaving(ServerEntry entry) {
+    return leaving.add(entry);
+  }
+
   /** Stops requests to the servers of a data centre until {@link #reopen}. */
   public void evacuate(String dataCentre) {
     evacuatedDataCentres.add(dataCentre);
@@ -288,6 +298,7 @@
 
   private boolean isAvailable(ServerState server) {
     return !server.entry().draining()
+        && !leaving.contains(server.entry())
         && !evacuatedDataCentres.contains(server.entry().dataCentre())
         && !lapsedIds.contains(server.entry().id());
   }
--- a/core/src/test/java/org/bambooarch/core/steering/place/ServerTableTest.java
+++ b/core/src/test/java/org/bambooarch/core/steering/place/ServerTableTest.java
@@ -28,6 +28,29 @@
     assertThat(table.find("a")).isEmpty();
   }
 
+  // Rule DRAIN: a server that stated in a response that it leaves went on getting requests.
+  @Test
+  void should_not_use_a_server_that_leaves_when_its_entry_is_removed_and_listed_again() {
+    table.replaceAll(List.of(entry(false, 0, 1)), 3_000, 0);
+    assertThat(table.onLeaving(entry(false, 0, 1))).isTrue();
+    assertThat(table.onLeaving(entry(false, 0, 1))).isFalse();
+    assertThat(table.availableServers("shop")).isEmpty();
+
+    table.remove("a", 10 * NANOS_PER_MILLI);
+    table.put(entry(false, 0, 1), 3_000, 1_000 * NANOS_PER_MILLI);
+    assertThat(table.availableServers("shop")).isEmpty();
+    assertThat(table.findAvailable("a")).isEmpty();
+  }
+
+  @Test
+  void should_use_a_server_that_left_when_it_was_started_again() {
+    table.replaceAll(List.of(entry(false, 0, 1)), 3_000, 0);
+    table.onLeaving(entry(false, 0, 1));
+    table.put(entry(false, 0, 2), 3_000, 1_000 * NANOS_PER_MILLI);
+
+    assertThat(table.availableServers("shop")).hasSize(1);
+  }
+
   @Test
   void should_drop_a_draining_server_at_once_when_its_entry_lapses() {
     table.replaceAll(List.of(entry(true, 0, 1)), 3_000, 0);
--- a/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
@@ -85,7 +85,7 @@
     this.fleet = new FleetTable(settings.identity());
     this.servers = new ServerTable(settings.regionByDataCentre());
     this.reachability = new ServerReachability(servers);
-    this.serverDirectives = new ServerDirectives(clock);
+    this.serverDirectives = new ServerDirectives(servers, clock);
     this.coldOwners = new ServerOwners(settings.identity());
     this.limitOwners = new ServerOwners(settings.identity());
     this.limitShares = new LimitShares(limitOwners);
--- a/gateway/src/main/java/org/bambooarch/gateway/control/ServerDirectives.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ServerDirectives.java
@@ -2,6 +2,7 @@
 
 import org.bambooarch.core.steering.place.NamedLimit;
 import org.bambooarch.core.steering.place.ServerState;
+import org.bambooarch.core.steering.place.ServerTable;
 import org.bambooarch.core.time.Clock;
 import org.bambooarch.gateway.spi.ServerResponseHeaders;
 import org.tinylog.Logger;
@@ -13,9 +14,11 @@
  */
 public final class ServerDirectives {
 
+  private final ServerTable servers;
   private final Clock clock;
 
-  ServerDirectives(Clock clock) {
+  ServerDirectives(ServerTable servers, Clock clock) {
+    this.servers = servers;
     this.clock = clock;
   }
 
@@ -29,6 +32,9 @@
     if (headers.misdirected() || (!headers.genuine() && !headers.notRun())) {
       return;
     }
+    if (headers.leaving() && servers.onLeaving(server.entry())) {
+      Logger.info("event=server-leaving server={}", server.entry().id());
+    }
     applyLimit(server, headers);
     headers.restMillis().ifPresent(millis -> applyRest(server, millis));
   }
--- a/gateway/src/main/java/org/bambooarch/gateway/spi/ServerResponseHeaders.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/spi/ServerResponseHeaders.java
@@ -13,6 +13,7 @@
  * @param notRun whether the server states that it did not run the request
  * @param misdirected whether the request reached another server than the expected one, because the
  *     address belongs to that server now
+ * @param leaving whether the server is about to stop and takes no further requests
  * @param load the server's load, if stated
  * @param keepAliveMillis how long the connection may be idle before the server closes it, in
  *     milliseconds, if stated
@@ -26,6 +27,7 @@
     boolean genuine,
     boolean notRun,
     boolean misdirected,
+    boolean leaving,
     Optional<Load> load,
     OptionalLong keepAliveMillis,
     OptionalDouble limitPerSecond,
--- a/gateway/src/main/java/org/bambooarch/gateway/warmup/WarmUpFormat.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/warmup/WarmUpFormat.java
@@ -35,6 +35,7 @@
         true,
         headers.notRun(),
         headers.misdirected(),
+        headers.leaving(),
         headers.load(),
         headers.keepAliveMillis(),
         headers.limitPerSecond(),
