Ignore what an earlier run of a server asked for

A response that is processed after the store has listed the server under a new start time, as after a pause of the instance, would have put the new run out of use for as long as it lasts: as leaving, resting or limited. The head of a response now counts only if the server's start time is that to which the request was sent.

--- a/gateway/src/main/java/org/bambooarch/gateway/control/ServerDirectives.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ServerDirectives.java
@@ -1,6 +1,7 @@
 package org.bambooarch.gateway.control;
 
 import org.bambooarch.core.steering.place.NamedLimit;
+import org.bambooarch.core.steering.place.ServerEntry;
 import org.bambooarch.core.steering.place.ServerState;
 import org.bambooarch.core.steering.place.ServerTable;
 import org.bambooarch.core.time.Clock;
@@ -23,16 +24,20 @@
   }
 
   /**
-   * Applies the head of a response. A head that another server or something else at the server's
-   * address may have written is ignored.
+   * Applies the head of a response. A head that an earlier run of the server, another server or
+   * something else at its address may have written is ignored.
    *
    * @param server the server to which the request was sent
+   * @param sentTo the entry of the server when the request was sent
    */
-  public void onResponseHead(ServerState server, ServerResponseHeaders headers) {
-    if (headers.misdirected() || (!headers.genuine() && !headers.notRun())) {
+  public void onResponseHead(
+      ServerState server, ServerEntry sentTo, ServerResponseHeaders headers) {
+    boolean sameRun = sentTo.startWallMillis() == server.entry().startWallMillis();
+    boolean fromServer = !headers.misdirected() && (headers.genuine() || headers.notRun());
+    if (!sameRun || !fromServer) {
       return;
     }
-    if (headers.leaving() && servers.onLeaving(server.entry())) {
+    if (headers.leaving() && servers.onLeaving(sentTo)) {
       Logger.info("event=server-leaving server={}", server.entry().id());
     }
     applyLimit(server, headers);
--- a/gateway/src/main/java/org/bambooarch/gateway/relay/RelayExchange.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/relay/RelayExchange.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import org.bambooarch.core.steering.place.ServerEntry;
 import org.bambooarch.core.steering.place.ServerState;
 import org.bambooarch.gateway.control.ControlState;
 import org.bambooarch.gateway.request.BufferedResponseRelay;
@@ -52,6 +53,7 @@
   private final long deadlineNanos;
   private final ScheduledFuture<?> timeout;
   private ServerState server;
+  private ServerEntry sentTo;
   private TargetRequestHandle requestHandle;
   private BufferedResponseRelay relay;
   private boolean finished;
@@ -128,6 +130,7 @@
 
   private void sendTo(ServerState chosen, long timeoutMillis) {
     server = chosen;
+    sentTo = chosen.entry();
     HttpHeaders headersToServer = context.requestFormat().toServerRequest(headers, timeoutMillis);
     // Whether the request is idempotent is not known here, so it is sent as if it were not.
     TargetRequest request =
@@ -186,7 +189,7 @@
 
   @Override
   public void onResponseHead(HttpResponse head, ServerResponseHeaders responseHeaders) {
-    state.serverDirectives().onResponseHead(server, responseHeaders);
+    state.serverDirectives().onResponseHead(server, sentTo, responseHeaders);
     relay =
         new BufferedResponseRelay(
             writer,
--- a/gateway/src/main/java/org/bambooarch/gateway/request/ServerAttempt.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/ServerAttempt.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import org.bambooarch.core.steering.RetryDecider.AttemptResult;
 import org.bambooarch.core.steering.place.PlacementQuery;
+import org.bambooarch.core.steering.place.ServerEntry;
 import org.bambooarch.core.steering.place.ServerState;
 import org.bambooarch.gateway.control.ControlState;
 import org.bambooarch.gateway.spi.ServerResponseHeaders;
@@ -24,6 +25,7 @@
   private final HttpResponseWriter writer;
   private final PlacementQuery query;
   private final ServerState server;
+  private final ServerEntry sentTo;
   private final int loadBefore;
   private long sentNanos;
   private ServerResponseHeaders responseHeaders;
@@ -53,6 +55,7 @@
     this.writer = writer;
     this.query = query;
     this.server = server;
+    this.sentTo = server.entry();
     this.loadBefore = loadBefore;
     this.sentNanos = state.clock().monotonicNanos();
   }
@@ -147,7 +150,7 @@
       HttpResponse newResponseHead, ServerResponseHeaders newResponseHeaders) {
     responseHead = newResponseHead;
     responseHeaders = newResponseHeaders;
-    state.serverDirectives().onResponseHead(server, responseHeaders);
+    state.serverDirectives().onResponseHead(server, sentTo, responseHeaders);
     if (!responseHeaders.genuine()) {
       return;
     }
