--- a/core/src/test/java/org/bambooarch/core/steering/load/FleetSimulation.java
+++ b/core/src/test/java/org/bambooarch/core/steering/load/FleetSimulation.java
@@ -7,11 +7,13 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.ToDoubleFunction;
+import java.util.stream.IntStream;
 import org.bambooarch.core.steering.config.ServicePolicy;
 import org.bambooarch.core.steering.fleet.InstanceIdentity;
 import org.bambooarch.core.steering.hash.Hashes;
@@ -107,6 +109,7 @@
     private final String dataCentre;
     private final InstanceIdentity identity;
     private final Map<Integer, Map<Integer, Integer>> inFlightOfPeers = new HashMap<>();
+    private final Map<Integer, Map<Integer, Double>> limitsOfPeers = new HashMap<>();
     private ServerTable table;
     private ServerChooser chooser;
 
@@ -184,10 +187,22 @@
     instance.table = new ServerTable(deployment.regionByDataCentre());
     instance.table.replaceAll(entries, 0, clock.nowNanos());
     ServerOwners owners = new ServerOwners(instance.identity);
+    owners.onOtherInstances(otherInstances(instance.identity));
     instance.chooser =
         new ServerChooser(
             instance.table, instance.identity.region(), owners, new LimitShares(owners));
     instance.inFlightOfPeers.clear();
+    instance.limitsOfPeers.clear();
+  }
+
+  private List<InstanceIdentity> otherInstances(InstanceIdentity self) {
+    return deployment.dataCentres().stream()
+        .flatMap(
+            dataCentre ->
+                IntStream.range(0, dataCentre.instances())
+                    .mapToObj(number -> identity(dataCentre, number)))
+        .filter(identity -> !identity.equals(self))
+        .toList();
   }
 
   /** Restarts all instances at a moment, so that they lose what they know of servers. */
@@ -362,9 +377,11 @@
                   () -> {
                     int running = server.running();
                     int waiting = server.waiting();
+                    OptionalDouble limit = server.limitPerSecond();
                     clock.after(
                         oneWayMillis,
                         () -> {
+                          state.limit().onResponse(limit, clock.nowNanos());
                           answered(instance, query, state, load, sentMillis, running, waiting);
                           finish(request);
                         });
@@ -434,13 +451,17 @@
 
   private void sendHeartbeat(Instance instance) {
     Map<Integer, Integer> inFlight = instance.table.ownInFlight();
+    Map<Integer, Double> limits = instance.table.ownLimits(clock.nowNanos());
     for (int i = 0; i < instances.size(); i++) {
       Instance peer = instances.get(i);
       if (peer != instance) {
         int sender = instances.indexOf(instance);
         clock.after(
             deployment.oneWayMillis(instance.dataCentre, peer.dataCentre),
-            () -> peer.inFlightOfPeers.put(sender, inFlight));
+            () -> {
+              peer.inFlightOfPeers.put(sender, inFlight);
+              peer.limitsOfPeers.put(sender, limits);
+            });
       }
     }
     if (clock.nowMillis() < endMillis) {
@@ -454,6 +475,11 @@
       inFlight.forEach((server, count) -> sums.merge(server, count, Integer::sum));
     }
     instance.table.updatePeersInFlight(sums);
+    Map<Integer, Double> lowestLimits = new HashMap<>();
+    for (Map<Integer, Double> limits : instance.limitsOfPeers.values()) {
+      limits.forEach((server, limit) -> lowestLimits.merge(server, limit, Math::min));
+    }
+    instance.table.updateReportedLimits(lowestLimits);
     instance.chooser.tick(policies.keySet(), clock.nowNanos());
     if (clock.nowMillis() < endMillis) {
       clock.after(TICK_MILLIS, () -> tick(instance));
--- a/core/src/test/java/org/bambooarch/core/steering/load/SimulatedServer.java
+++ b/core/src/test/java/org/bambooarch/core/steering/load/SimulatedServer.java
@@ -4,6 +4,7 @@
 import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.Random;
 
 /** A server with slots, a bounded queue and a bounded set of objects for which it is warm. */
@@ -20,6 +21,7 @@
   private final Deque<Waiting> queue = new ArrayDeque<>();
   private final Map<Long, Boolean> warmObjects;
   private double slowdown = 1;
+  private OptionalDouble limitPerSecond = OptionalDouble.empty();
   private int running;
 
   SimulatedServer(
@@ -57,6 +59,15 @@
     slowdown = factor;
   }
 
+  /** Names a limit of requests per second in all responses from now on, or none. */
+  void nameLimit(OptionalDouble perSecond) {
+    limitPerSecond = perSecond;
+  }
+
+  OptionalDouble limitPerSecond() {
+    return limitPerSecond;
+  }
+
   /** Runs or queues a request; returns false if the queue is full. */
   boolean offer(long object, double coldMillis, Runnable onEnd) {
     Waiting request = new Waiting(object, coldMillis, onEnd);
--- a/core/src/test/java/org/bambooarch/core/steering/load/SteeringExperiment.java
+++ b/core/src/test/java/org/bambooarch/core/steering/load/SteeringExperiment.java
@@ -1,8 +1,10 @@
 package org.bambooarch.core.steering.load;
 
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
 
@@ -18,6 +20,7 @@
   private static final double WAVE_MILLIS = 36_000;
   private static final double WAVE_SWING = 0.55;
   private static final double BOUND_FRACTION = 0.12;
+  private static final double NAMED_LIMIT_PER_SECOND = 10;
   private static final int SEEDS = 3;
 
   private SteeringExperiment() {}
@@ -73,6 +76,21 @@
         "forgetful-servers",
         simulation ->
             simulation.changeServersAt(DISTURBANCE_MILLIS, "", SimulatedServer::forgetObjects));
+    disturbances.put(
+        "limited-servers",
+        simulation -> {
+          for (String servers : List.of("read-north-a", "read-south-a")) {
+            simulation
+                .changeServersAt(
+                    DISTURBANCE_MILLIS,
+                    servers,
+                    server -> server.nameLimit(OptionalDouble.of(NAMED_LIMIT_PER_SECOND)))
+                .changeServersAt(
+                    DISTURBANCE_MILLIS + 10_000,
+                    servers,
+                    server -> server.nameLimit(OptionalDouble.empty()));
+          }
+        });
     disturbances.put(
         "lost-data-centre",
         simulation ->
