Hear instances of the first builds that report no admitted requests

The current one took their heartbeats as unreadable as soon as they had a customer, so it would have named none of them in look-ups and divided the customers' rates as if it were alone.

Change: a missing column reads as nothing reported; columns of different lengths are still an error. HeartbeatCodecTest failed before with "heartbeat with parallel columns of different lengths".

--- a/peer/src/main/java/org/bambooarch/peer/codec/HeartbeatCodec.java
+++ b/peer/src/main/java/org/bambooarch/peer/codec/HeartbeatCodec.java
@@ -76,8 +76,10 @@
    */
   public static Heartbeat decode(byte[] bytes) throws InvalidProtocolBufferException {
     HeartbeatMessage message = HeartbeatMessage.parseFrom(bytes);
+    // The first builds do not write this column.
+    boolean reportsAdmitted = message.getAdmittedCount() > 0;
     if (message.getCustomersCount() != message.getDemandsCentiCount()
-        || message.getCustomersCount() != message.getAdmittedCount()
+        || (reportsAdmitted && message.getCustomersCount() != message.getAdmittedCount())
         || message.getServersCount() != message.getInFlightCount()
         || message.getLimitedServersCount() != message.getLimitsMilliCount()
         || message.getCrashRequestsCount() != message.getCrashServersCount()) {
@@ -88,7 +90,9 @@
     Map<Integer, Integer> admitted = new HashMap<>();
     for (int i = 0; i < message.getCustomersCount(); i++) {
       demand.put(message.getCustomers(i), message.getDemandsCenti(i) / HUNDREDTHS_PER_REQUEST);
-      admitted.put(message.getCustomers(i), message.getAdmitted(i));
+      if (reportsAdmitted) {
+        admitted.put(message.getCustomers(i), message.getAdmitted(i));
+      }
     }
     Map<Integer, Integer> inFlight = new HashMap<>();
     for (int i = 0; i < message.getServersCount(); i++) {
--- a/peer/src/test/java/org/bambooarch/peer/codec/HeartbeatCodecTest.java
+++ b/peer/src/test/java/org/bambooarch/peer/codec/HeartbeatCodecTest.java
@@ -36,6 +36,24 @@
     assertThat(HeartbeatCodec.decode(HeartbeatCodec.encode(heartbeat))).isEqualTo(heartbeat);
   }
 
+  // Instances of the first builds were not heard by newer ones while they had customers.
+  @Test
+  void should_decode_a_heartbeat_of_a_build_that_reports_no_admitted_requests() throws Exception {
+    // The fields of commit ae532e5, which has no column of admitted requests.
+    byte[] bytes =
+        HexFormat.of()
+            .parseHex(
+                "0a07656e7472792d311107000000000000001a056e6f72746822076e6f7274682d612a0b3130"
+                    + "2e302e302e313a3830320d31302e302e302e313a373630303801400c4a04050000005202e1"
+                    + "015a04090000006201016a080400000000000000720409000000");
+
+    Heartbeat decoded = HeartbeatCodec.decode(bytes);
+    assertThat(decoded.sender()).isEqualTo(SENDER);
+    assertThat(decoded.customerDemand()).containsExactly(Map.entry(5, 2.25));
+    assertThat(decoded.customerAdmitted()).isEmpty();
+    assertThat(decoded.inFlight()).containsExactly(Map.entry(9, 1));
+  }
+
   @Test
   void should_decode_a_heartbeat_of_a_build_that_reports_no_limits() throws Exception {
     // Encoded by commit 18674ce.
