--- a/gateway/src/main/java/org/bambooarch/gateway/control/ServerDirectives.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ServerDirectives.java
@@ -45,8 +45,11 @@
   }
 
   private void applyRest(ServerState server, long millis) {
-    server.onRestAsked(millis, clock.monotonicNanos());
-    Logger.info("event=server-resting server={} for-millis={}", server.entry().id(), millis);
+    long nowNanos = clock.monotonicNanos();
+    if (!server.isResting(nowNanos)) {
+      Logger.info("event=server-resting server={} for-millis={}", server.entry().id(), millis);
+    }
+    server.onRestAsked(millis, nowNanos);
   }
 
   private void applyLimit(ServerState server, ServerResponseHeaders headers) {
