--- a/review/build.sh
+++ b/review/build.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/.."
 . bin/java-env.sh
 mkdir -p target/review
-"$JAVA_HOME/bin/javac" -nowarn -d target/review -cp 'target/app/*' review/harness/*.java
+"$JAVA_HOME/bin/javac" -nowarn -d target/review -cp 'target/app/*' review/*.java
 for source in review/[1-5]/*.java; do
   [ -e "$source" ] || continue
   "$JAVA_HOME/bin/javac" -nowarn -d target/review -cp 'target/review:target/app/*' "$source"
