End watches whose response was lost before the bounds on changes are over

Callers saw: orders that an instance sent to a server that was leaving were cut off with a 502 when it ended.

Cause: a watch asked the store to wait for up to 20 s, with 2.5 s more for the response. A lost response leaves no sign on its connection, so only that timeout ended the watch: `store-lost` came 22.5 s after the call, and the first retry succeeded at once. The watch of the operators' list had the same timeout, and retries after a failure waited as long.

Change: a call waits for no longer than the platform's bounds on changes leave after `contact`, less the time to notice the loss and to read again. A watch fails if its response has not begun 1 s after that wait; one that has begun may take 2.5 s more, so that long lists are not cut off on slow links. While the store does not respond, calls do not wait.

--- a/gateway/src/main/java/org/bambooarch/gateway/Gateway.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/Gateway.java
@@ -128,7 +128,8 @@
     this.clock = clock;
     this.loop = (EventLoop) eventLoops.next();
     this.state = new ControlState(settings, clock);
-    this.storeSynchronizer = new StoreSynchronizer(store, state, loop, random);
+    this.storeSynchronizer =
+        new StoreSynchronizer(store, state, loop, random, settings.maxListAgeMillis());
     this.partitionMonitor =
         new PartitionMonitor(
             state.reachability(), state.servers(), clock, this::onPartitionVerdictChanged);
--- a/gateway/src/main/java/org/bambooarch/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/GatewaySettings.java
@@ -22,6 +22,8 @@
  * @param lookupTtlMillis how long a client may cache a directory response, in milliseconds
  * @param graceMillis time from the stop signal until the platform kills the process, in
  *     milliseconds
+ * @param maxListAgeMillis longest time for which the store's lists may be outdated here after a
+ *     response of the store was lost, in milliseconds
  */
 public record GatewaySettings(
     InstanceIdentity identity,
@@ -35,7 +37,8 @@
     double retrySlack,
     QuotaTolerance quotaTolerance,
     long lookupTtlMillis,
-    long graceMillis) {
+    long graceMillis,
+    long maxListAgeMillis) {
 
   /** Copies the map of regions, so that the settings are immutable. */
   public GatewaySettings {
--- a/gateway/src/main/java/org/bambooarch/gateway/control/ListWatcher.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ListWatcher.java
@@ -13,16 +13,21 @@
 /**
  * Keeps a list of the platform up to date: reads it once in full and then watches its changes.
  *
- * <p>After a failure it retries with a growing delay and resumes from the version that it has. It
- * reads the full list again only if the store no longer keeps the changes since that version, or if
- * the store returned from an older copy, whose versions count anew from an earlier one.
+ * <p>A response can be lost without any sign on its connection, so each call waits for a limited
+ * time only. After a failure it retries with a growing delay and resumes from the version that it
+ * has. It reads the full list again only if the store no longer keeps the changes since that
+ * version, or if the store returned from an older copy, whose versions count anew from an earlier
+ * one.
  *
  * <p>Used on the event loop only.
  */
 final class ListWatcher {
 
-  /** Longest time to wait for a change in one call. It is long because the platform bills calls. */
-  static final long LONG_POLL_MILLIS = 20_000;
+  /** Time for connecting and reading again after a call whose response was lost. */
+  private static final long RECOVERY_MILLIS = 1_000;
+
+  /** Shortest time to wait for a change in one call; the platform bills calls. */
+  private static final long MIN_LONG_POLL_MILLIS = 500;
 
   /**
    * Delay after changes until the next call, so that a series of changes arrives in one response.
@@ -47,6 +52,7 @@
   private final EventLoop loop;
   private final RandomGenerator random;
   private final StoreEra era;
+  private final long longPollMillis;
   private boolean storeReachable = true;
   private boolean loaded;
   private boolean stopped;
@@ -55,19 +61,30 @@
   private long callNumber;
   private long retryDelayMillis = MIN_RETRY_DELAY_MILLIS;
 
+  /**
+   * Creates a watcher that makes no calls until {@link #start()}.
+   *
+   * @param maxListAgeMillis longest time until the list is up to date again after a response was
+   *     lost, in milliseconds
+   */
   ListWatcher(
       Topic topic,
       ControlStore store,
       ControlState state,
       EventLoop loop,
       RandomGenerator random,
-      StoreEra era) {
+      StoreEra era,
+      long maxListAgeMillis) {
     this.topic = topic;
     this.store = store;
     this.state = state;
     this.loop = loop;
     this.random = random;
     this.era = era;
+    this.longPollMillis =
+        Math.max(
+            MIN_LONG_POLL_MILLIS,
+            maxListAgeMillis - ControlStore.WATCH_RESPONSE_TIMEOUT_MILLIS - RECOVERY_MILLIS);
   }
 
   /** Starts to read and watch the list. */
@@ -110,7 +127,7 @@
     long call = ++callNumber;
     if (loaded) {
       store
-          .watch(topic, version, LONG_POLL_MILLIS)
+          .watch(topic, version, waitMillis())
           .whenCompleteAsync((update, failure) -> onChanges(call, update, failure), loop);
     } else {
       store
@@ -119,6 +136,14 @@
     }
   }
 
+  /**
+   * Returns how long the next call may wait for a change. While the store does not respond, calls
+   * do not wait, so that its return is noticed at once.
+   */
+  private long waitMillis() {
+    return storeReachable ? longPollMillis : 0;
+  }
+
   private void onFullList(long call, ControlUpdate update, Throwable failure) {
     if (call != callNumber) {
       return;
--- a/gateway/src/main/java/org/bambooarch/gateway/control/StoreSynchronizer.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/StoreSynchronizer.java
@@ -46,16 +46,28 @@
   private long renewDelayNanos = MIN_RENEW_DELAY_NANOS;
   private long renewNanos;
 
-  /** Creates a synchronizer that makes no calls until {@link #start()}. */
+  /**
+   * Creates a synchronizer that makes no calls until {@link #start()}.
+   *
+   * @param maxListAgeMillis longest time for which the lists may be outdated after a response of
+   *     the store was lost, in milliseconds
+   */
   public StoreSynchronizer(
-      ControlStore store, ControlState state, EventLoop loop, RandomGenerator random) {
+      ControlStore store,
+      ControlState state,
+      EventLoop loop,
+      RandomGenerator random,
+      long maxListAgeMillis) {
     this.store = store;
     this.state = state;
     this.loop = loop;
     this.random = random;
-    this.operatorWatcher = new ListWatcher(Topic.OPERATOR, store, state, loop, random, era);
-    this.watchers =
-        List.of(operatorWatcher, new ListWatcher(Topic.SERVERS, store, state, loop, random, era));
+    this.operatorWatcher = newWatcher(Topic.OPERATOR, maxListAgeMillis);
+    this.watchers = List.of(operatorWatcher, newWatcher(Topic.SERVERS, maxListAgeMillis));
+  }
+
+  private ListWatcher newWatcher(Topic topic, long maxListAgeMillis) {
+    return new ListWatcher(topic, store, state, loop, random, era, maxListAgeMillis);
   }
 
   /** Starts to watch the lists, and registers this instance. */
--- a/gateway/src/main/java/org/bambooarch/gateway/spi/ControlStore.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/spi/ControlStore.java
@@ -12,6 +12,13 @@
  */
 public interface ControlStore {
 
+  /**
+   * Time after which a call of {@link #watch} fails if no response has begun, in milliseconds, in
+   * addition to the time for which it asks the store to wait. The store responds within
+   * milliseconds, and until then a lost response goes unnoticed.
+   */
+  long WATCH_RESPONSE_TIMEOUT_MILLIS = 1_000;
+
   /** Reads the full list. */
   CompletableFuture<ControlUpdate> read(Topic topic);
 
@@ -22,7 +29,7 @@
    *
    * @param afterVersion version of the newest change that is known
    * @param waitMillis longest time to wait for a change, in milliseconds; without a change until
-   *     then, the update is empty
+   *     then, the update is empty; 0 to ask for the changes so far
    */
   CompletableFuture<ControlUpdate> watch(Topic topic, long afterVersion, long waitMillis);
 
--- a/gateway/src/main/java/org/bambooarch/gateway/warmup/WarmUp.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/warmup/WarmUp.java
@@ -179,7 +179,8 @@
         0,
         new QuotaTolerance(1, 0, 0),
         1_000,
-        1_000);
+        1_000,
+        5_000);
   }
 
   private static InetSocketAddress address(int port) {
--- a/gateway/src/test/java/org/bambooarch/gateway/control/ListWatcherTest.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/control/ListWatcherTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.netty.channel.embedded.EmbeddedChannel;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
@@ -21,6 +22,8 @@
 import org.bambooarch.gateway.spi.ControlUpdate;
 import org.bambooarch.gateway.spi.Topic;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class ListWatcherTest {
 
@@ -32,6 +35,12 @@
    */
   private static final long MAX_CALL_GAP_MILLIS = 1_000;
 
+  /** Longest time for which the list may be outdated after a response was lost. */
+  private static final long MAX_LIST_AGE_MILLIS = 5_000;
+
+  /** Time for a connection and a response of a store that responds. */
+  private static final long STORE_ROUND_TRIP_MILLIS = 100;
+
   private final EmbeddedChannel channel = new EmbeddedChannel();
   private final ManualClock clock = ManualClock.startingAtZero();
   private final ControlState state = new ControlState(settings(), clock);
@@ -44,14 +53,19 @@
           state,
           channel.eventLoop(),
           RandomGenerator.of("L64X128MixRandom"),
-          era);
+          era,
+          MAX_LIST_AGE_MILLIS);
   private long nowMillis;
 
-  /** A store whose calls fail while {@link #failure} is set; records its calls and their times. */
+  /**
+   * A store whose calls fail while {@link #failure} is set, and which loses the responses to the
+   * watches that begin while {@link #losesResponses} is set; records its calls and their times.
+   */
   private final class FailingStore implements ControlStore {
     private final List<Long> callTimesMillis = new ArrayList<>();
     private final List<String> calls = new ArrayList<>();
     private ControlStoreException failure;
+    private boolean losesResponses;
     private CompletableFuture<ControlUpdate> pending = new CompletableFuture<>();
     private ControlUpdate fullList = listOf(server("a", false), server("b", false));
 
@@ -62,7 +76,18 @@
 
     @Override
     public CompletableFuture<ControlUpdate> watch(Topic topic, long after, long waitMillis) {
-      return respond("watch " + after, pending);
+      return respond("watch " + after, losesResponses ? lostAfter(waitMillis) : pending);
+    }
+
+    private CompletableFuture<ControlUpdate> lostAfter(long waitMillis) {
+      CompletableFuture<ControlUpdate> lost = new CompletableFuture<>();
+      channel
+          .eventLoop()
+          .schedule(
+              () -> lost.completeExceptionally(new IOException("no response")),
+              waitMillis + WATCH_RESPONSE_TIMEOUT_MILLIS,
+              TimeUnit.MILLISECONDS);
+      return lost;
     }
 
     private CompletableFuture<ControlUpdate> respond(
@@ -118,7 +143,8 @@
         60,
         new QuotaTolerance(5, 0.1, 20),
         2_000,
-        6_000);
+        6_000,
+        MAX_LIST_AGE_MILLIS);
   }
 
   /** Advances the clock and the event loop in small steps, and runs the tasks that become due. */
@@ -137,6 +163,23 @@
     channel.runPendingTasks();
   }
 
+  // Regression: a watch whose response was lost kept an instance from learning for 22.5 s that
+  // servers were leaving.
+  @ParameterizedTest
+  @ValueSource(longs = {0, 700, 2_000, 2_900, 5_000, 9_000})
+  void should_learn_of_leaving_servers_in_time_when_the_store_has_lost_responses(
+      long silentMillis) {
+    store.losesResponses = true;
+    start();
+    advance(silentMillis);
+    store.losesResponses = false;
+    advance(MAX_LIST_AGE_MILLIS - STORE_ROUND_TRIP_MILLIS);
+    store.pending.complete(listOf(server("a", true)));
+    advance(STORE_ROUND_TRIP_MILLIS);
+
+    assertThat(state.servers().find("a").orElseThrow().entry().draining()).isTrue();
+  }
+
   @Test
   void should_retry_at_least_each_second_when_the_store_is_unreachable_for_long() {
     start();
