Bound the work that one server's response causes in a turn of the event loop

Cause: a connection was read up to 16 times in a row, 64 KiB each, and each chunk was decoded and handed on by itself. Six thread dumps of six show the event loop in the HTTP decoder below one read, at 96% of a core; beyond the first 256 KiB each chunk was also a write of its own to the client.

Change: one read of 16 KiB at most in a turn; the chunks of a read are handed on as one part; after a read of more than 256 chunks the connection is not read for as long as keeps it to 20,000 chunks a second. Connections to instances that forward for others share this.

TinyChunksTest: three of six cases fail without the change to TargetConnection.

--- a/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnection.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.ByteToMessageDecoder;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
@@ -14,6 +15,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
+import java.util.concurrent.TimeUnit;
 import org.bambooarch.core.time.Clock;
 import org.bambooarch.gateway.spi.RequestFormat;
 import org.bambooarch.gateway.spi.ServerResponseHeaders;
@@ -44,11 +46,15 @@
   private final TargetConnectionPool pool;
   private final RequestFormat format;
   private final Clock clock;
+  private final DecodingThrottle throttle = new DecodingThrottle();
   private Channel channel;
   private ReadState readState = ReadState.IDLE;
   private TargetResponseListener listener;
   private String requestId = "";
   private boolean connectionFailed;
+  private ByteBuf receivedPart;
+  private boolean listenerReads = true;
+  private boolean throttled;
   private boolean reusable = true;
   private boolean requestComplete;
   private long bytesBeforeResponse;
@@ -140,6 +146,7 @@
   public void cancel() {
     listener = null;
     readState = ReadState.IDLE;
+    discardReceivedPart();
     close();
   }
 
@@ -151,7 +158,12 @@
 
   /** Stops or resumes reading the response, for backpressure from the client. */
   public void setAutoRead(boolean read) {
-    channel.config().setAutoRead(read);
+    listenerReads = read;
+    updateAutoRead();
+  }
+
+  private void updateAutoRead() {
+    channel.config().setAutoRead(listenerReads && !throttled);
   }
 
   /**
@@ -185,6 +197,7 @@
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
     pool.onRead();
+    throttle.onObject();
     try {
       if (message instanceof HttpObject object) {
         onObject(object);
@@ -194,6 +207,23 @@
     }
   }
 
+  @Override
+  public void channelReadComplete(ChannelHandlerContext context) {
+    passReceivedPartOn();
+    long pauseNanos = throttle.pauseNanosAfterRead();
+    // What is skipped before the response has a limit of its own.
+    if (pauseNanos > 0 && readState == ReadState.BODY) {
+      throttled = true;
+      updateAutoRead();
+      channel.eventLoop().schedule(this::resume, pauseNanos, TimeUnit.NANOSECONDS);
+    }
+  }
+
+  private void resume() {
+    throttled = false;
+    updateAutoRead();
+  }
+
   private void onObject(HttpObject object) {
     if (object.decoderResult().isFailure()) {
       failRequest("the server sent bytes that are not a valid HTTP response");
@@ -247,10 +277,12 @@
     if (listener == null) {
       return;
     }
-    if (content.content().isReadable()) {
-      listener.onBodyPart(content.content().retain());
+    collect(content.content());
+    if (!(content instanceof LastHttpContent)) {
+      return;
     }
-    if (listener == null || !(content instanceof LastHttpContent)) {
+    passReceivedPartOn();
+    if (listener == null) {
       return;
     }
     if (connectionFailed) {
@@ -265,6 +297,35 @@
     finishedListener.onComplete();
   }
 
+  /** Joins the chunks of one read, since the listener handles each part on its own. */
+  private void collect(ByteBuf chunk) {
+    if (!chunk.isReadable()) {
+      return;
+    }
+    if (receivedPart == null) {
+      receivedPart = chunk.retain();
+      return;
+    }
+    receivedPart =
+        ByteToMessageDecoder.MERGE_CUMULATOR.cumulate(
+            channel.alloc(), receivedPart, chunk.retain());
+  }
+
+  private void passReceivedPartOn() {
+    ByteBuf part = receivedPart;
+    receivedPart = null;
+    if (part != null) {
+      listener.onBodyPart(part);
+    }
+  }
+
+  private void discardReceivedPart() {
+    if (receivedPart != null) {
+      receivedPart.release();
+      receivedPart = null;
+    }
+  }
+
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
     if (!(cause instanceof IOException)) {
@@ -287,6 +348,7 @@
     TargetResponseListener failedListener = listener;
     listener = null;
     readState = ReadState.IDLE;
+    discardReceivedPart();
     if (failedListener != null) {
       failedListener.onConnectionLost(reason);
     }
--- a/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnectionPool.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnectionPool.java
@@ -1,12 +1,14 @@
 package org.bambooarch.gateway.target;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.handler.codec.http.HttpClientCodec;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
@@ -47,6 +49,12 @@
    */
   private static final long MAX_LAG_NANOS = 200_000_000L;
 
+  /** Most bytes that are read from a connection before the event loop turns to the others. */
+  private static final int MAX_BYTES_PER_TURN = 16 * 1024;
+
+  private static final int MIN_READ_BUFFER_BYTES = 64;
+  private static final int FIRST_READ_BUFFER_BYTES = 2 * 1024;
+
   private static final int MAX_IDLE_CONNECTIONS = 8;
   private static final int MAX_INITIAL_LINE_BYTES = 8 * 1024;
   private static final int MAX_HEADER_BYTES = 64 * 1024;
@@ -97,6 +105,13 @@
     this.observer = observer;
     this.bootstrap = new Bootstrap().group(loop).channel(NettyTransport.socketChannelType());
     NettyTransport.socketOptions().forEach(this::option);
+    option(ChannelOption.RECVBUF_ALLOCATOR, oneReadPerTurn());
+  }
+
+  private static RecvByteBufAllocator oneReadPerTurn() {
+    return new AdaptiveRecvByteBufAllocator(
+            MIN_READ_BUFFER_BYTES, FIRST_READ_BUFFER_BYTES, MAX_BYTES_PER_TURN)
+        .maxMessagesPerRead(1);
   }
 
   @SuppressWarnings("unchecked")
