--- a/gateway/src/main/java/org/bambooarch/gateway/control/ListWatcher.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ListWatcher.java
@@ -24,7 +24,7 @@
 final class ListWatcher {
 
   /** Time for connecting and reading again after a call whose response was lost. */
-  private static final long RECOVERY_MILLIS = 1_000;
+  private static final long RECOVERY_MILLIS = 600;
 
   /** Shortest time to wait for a change in one call; the platform bills calls. */
   private static final long MIN_LONG_POLL_MILLIS = 500;
@@ -106,8 +106,9 @@
   }
 
   /**
-   * Makes a new call for changes and ignores the response to the one in progress. Does nothing
-   * while the list is read in full or the store is not reachable, as those calls are retried.
+   * Makes a new call for the changes so far and ignores the response to the one in progress. Does
+   * nothing while the list is read in full or the store is not reachable, as those calls are
+   * retried.
    */
   void renew() {
     if (loaded && storeReachable && !stopped) {
@@ -115,11 +116,15 @@
           "event=watch-renewed list={} version={} reason=\"others know a newer configuration\"",
           topic,
           version);
-      requestNextUpdate();
+      requestUpdate(0);
     }
   }
 
   private void requestNextUpdate() {
+    requestUpdate(waitMillis());
+  }
+
+  private void requestUpdate(long waitMillis) {
     if (stopped) {
       return;
     }
@@ -127,7 +132,7 @@
     long call = ++callNumber;
     if (loaded) {
       store
-          .watch(topic, version, waitMillis())
+          .watch(topic, version, waitMillis)
           .whenCompleteAsync((update, failure) -> onChanges(call, update, failure), loop);
     } else {
       store
--- a/gateway/src/test/java/org/bambooarch/gateway/control/ListWatcherTest.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/control/ListWatcherTest.java
@@ -36,7 +36,7 @@
   private static final long MAX_CALL_GAP_MILLIS = 1_000;
 
   /** Longest time for which the list may be outdated after a response was lost. */
-  private static final long MAX_LIST_AGE_MILLIS = 5_000;
+  private static final long MAX_LIST_AGE_MILLIS = 3_000;
 
   /** Time for a connection and a response of a store that responds. */
   private static final long STORE_ROUND_TRIP_MILLIS = 100;
--- a/gateway/src/test/java/org/bambooarch/gateway/control/StoreSynchronizerTest.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/control/StoreSynchronizerTest.java
@@ -23,7 +23,7 @@
   private final LosingStore store = new LosingStore();
   private final StoreSynchronizer synchronizer =
       new StoreSynchronizer(
-          store, state, channel.eventLoop(), RandomGenerator.of("L64X128MixRandom"), 6_500);
+          store, state, channel.eventLoop(), RandomGenerator.of("L64X128MixRandom"), 4_000);
 
   /** A store that loses the response to the first watch of the operators' list. */
   private static final class LosingStore implements ControlStore {
