End a streamed request body that ends after its last part was written

Cause: the end of a streamed body was passed on by the callback of a write only. If it arrived after the last part had been written, nothing passed it on, and the server waited for the last chunk.

Change: ClientRequestBody ends the body from whichever comes last, the end or the callback. Instances that forward for others use the same class.

--- a/gateway/src/main/java/org/bambooarch/gateway/request/ClientRequestBody.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/ClientRequestBody.java
@@ -62,6 +62,7 @@
   private final ByteArrayOutputStream buffer = new ByteArrayOutputStream();
   private Subscription subscription;
   private Sink sink;
+  private boolean writing;
   private boolean complete;
   private boolean exceedsBuffer;
   private boolean stopped;
@@ -84,7 +85,17 @@
    */
   public void streamTo(Sink newSink) {
     sink = newSink;
-    sink.writePart(Unpooled.wrappedBuffer(buffer.toByteArray()), this::requestNext);
+    writePart(buffer.toByteArray());
+  }
+
+  private void writePart(byte[] bytes) {
+    writing = true;
+    sink.writePart(Unpooled.wrappedBuffer(bytes), this::onPartWritten);
+  }
+
+  private void onPartWritten() {
+    writing = false;
+    requestNext();
   }
 
   /** Stops reading the body: no further data is requested, and no further error is reported. */
@@ -125,7 +136,7 @@
       return;
     }
     if (sink != null) {
-      sink.writePart(Unpooled.wrappedBuffer(bytes), this::requestNext);
+      writePart(bytes);
       return;
     }
     buffer.writeBytes(bytes);
@@ -140,10 +151,11 @@
   @Override
   public void onComplete() {
     complete = true;
-    if (exceedsBuffer) {
-      return;
+    if (!exceedsBuffer) {
+      listener.onBodyReady();
+    } else if (sink != null && !writing) {
+      sink.end();
     }
-    listener.onBodyReady();
   }
 
   @Override
