Never retry a failure of which the client has a part already

Cause: a response that exceeds the buffer goes to the client while it arrives. When it was complete and no success, the request was sent to a second server all the same, whose response was a second head on the same writer; the HTTP server refused it and closed the client's connection.

Change: a response that has begun is relayed to its end, whatever its status. A refusal of our own aborts a response that has begun; only the deadline did so before, not the limit for bodies.

--- a/gateway/src/main/java/org/bambooarch/gateway/request/ProxyExchange.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/ProxyExchange.java
@@ -284,6 +284,14 @@
     finish(RequestOutcome.ANSWERED, attempt.relayResponse(), "");
   }
 
+  /**
+   * Called when a response that is no success is complete, of which the client has a part already.
+   */
+  void onStartedFailureComplete(String cause) {
+    retryDecider.onAnswered();
+    finish(RequestOutcome.SERVER_FAILURE, attempt.relayResponse(), cause);
+  }
+
   /** Called when a response was truncated of which the client has a part already. */
   void onResponseTruncated() {
     retryDecider.onAnswered();
@@ -346,11 +354,6 @@
       return;
     }
     cancelServerRequest();
-    if (attempt != null && attempt.hasStartedResponse()) {
-      finish(RequestOutcome.TIMED_OUT, 0, "broke-off");
-      attempt.abortResponse();
-      return;
-    }
     refuse(RequestOutcome.TIMED_OUT, retryDecider.mayHaveRun() ? 504 : 503, 0);
   }
 
@@ -378,6 +381,11 @@
       return;
     }
     body.stop();
+    if (attempt != null && attempt.hasStartedResponse()) {
+      finish(outcome, 0, "broke-off");
+      attempt.abortResponse();
+      return;
+    }
     if (!retryDecider.mayHaveRun()) {
       customer.ifPresent(
           chargedCustomer ->
--- a/gateway/src/main/java/org/bambooarch/gateway/request/ServerAttempt.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/ServerAttempt.java
@@ -196,20 +196,28 @@
       state.chooser().onServed(query, server, loadBefore, nowNanos - sentNanos, nowNanos);
     }
     if (failure) {
-      exchange.onAttemptFailed(AttemptResult.FAILED, "server-failure");
+      onUnsuccessful(AttemptResult.FAILED, "server-failure");
       return;
     }
     exchange.onResponseComplete();
   }
 
+  /** Ends the attempt; a response of which the client has a part already can't be replaced. */
+  private void onUnsuccessful(AttemptResult result, String cause) {
+    if (hasStartedResponse()) {
+      exchange.onStartedFailureComplete(cause);
+    } else {
+      exchange.onAttemptFailed(result, cause);
+    }
+  }
+
   private void onNotRun(long nowNanos) {
     if (responseHeaders.misdirected()) {
       server.onAddressReused(nowNanos);
     } else {
       server.onShed(nowNanos);
     }
-    exchange.onAttemptFailed(
-        AttemptResult.NOT_RUN, responseHeaders.misdirected() ? "replaced" : "shed");
+    onUnsuccessful(AttemptResult.NOT_RUN, responseHeaders.misdirected() ? "replaced" : "shed");
   }
 
   @Override
