Read on for the next request when the client of the last response has paused

Cause: reading from a server is switched off while the client pauses. If the response was complete by then, the connection went back to the pool like this, and the response to the next request on it was not read. The first client could also switch reading on again for the next one.

Change: a connection reads again when its response is complete, and the relay of a response leaves the connection alone after that.

TargetConnectionReadingTest (TinyChunksTest before, since it covers more now) has the case, which fails without the change to TargetConnection.

--- a/gateway/src/main/java/org/bambooarch/gateway/request/BufferedResponseRelay.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/BufferedResponseRelay.java
@@ -32,6 +32,7 @@
   private final BooleanSupplier closesConnection;
   private final ByteArrayOutputStream buffer = new ByteArrayOutputStream();
   private boolean started;
+  private boolean ended;
 
   /**
    * Creates a relay that has not received any part of the body.
@@ -83,7 +84,14 @@
   private void writePart(byte[] bytes) {
     handle.setAutoRead(false);
     write(HttpData.wrap(bytes));
-    writer.whenConsumed().thenRun(() -> handle.setAutoRead(true));
+    writer.whenConsumed().thenRun(this::readOn);
+  }
+
+  private void readOn() {
+    // After the end of the response the connection belongs to another request.
+    if (!ended) {
+      handle.setAutoRead(true);
+    }
   }
 
   /**
@@ -98,6 +106,7 @@
 
   /** Ends the response; a buffered one is written in full, with its length. */
   public void onComplete() {
+    ended = true;
     if (!started) {
       byte[] bytes = buffer.toByteArray();
       var headers = headers();
--- a/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnection.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnection.java
@@ -293,6 +293,8 @@
     idleSinceNanos = clock.monotonicNanos();
     TargetResponseListener finishedListener = listener;
     listener = null;
+    // The client of this response may have paused; the next request has another one.
+    setAutoRead(true);
     pool.release(this, reusable && channel.isActive());
     finishedListener.onComplete();
   }
--- a/gateway/src/test/java/org/bambooarch/gateway/target/TinyChunksTest.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/target/TargetConnectionReadingTest.java
@@ -21,8 +21,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
-/** Servers that send the body of a response in chunks of a few bytes. */
-class TinyChunksTest {
+/** When a connection to a server is read, and how what was read is passed on. */
+class TargetConnectionReadingTest {
 
   private static final String HEAD = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
   private static final String CHUNK = "1\r\nx\r\n";
@@ -150,6 +150,19 @@
     assertThat(channel.config().isAutoRead()).isTrue();
   }
 
+  // Regression: a connection went back to the pool with reading switched off, and the response to
+  // the next request on it was not read.
+  @Test
+  void should_read_for_the_next_request_when_the_client_paused_at_the_end_of_the_last_response() {
+    sendRequest();
+    receive("HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nfirst");
+    connection.setAutoRead(false);
+    receive("later");
+
+    assertThat(listener.complete).isTrue();
+    assertThat(channel.config().isAutoRead()).isTrue();
+  }
+
   @Test
   void should_discard_the_chunks_of_a_read_when_the_connection_is_reset_within_it() {
     sendRequest();
