Handle SIGHUP from the start of an instance

Cause: the handler was set after the warm-up, and the default action of the signal ends the process.

Change: the command handles the signal before all else.

--- a/cli/src/main/java/org/bambooarch/cli/command/GatewayCommand.java
+++ b/cli/src/main/java/org/bambooarch/cli/command/GatewayCommand.java
@@ -15,6 +15,7 @@
 import org.bambooarch.platform.PlatformGatewayFactory;
 import org.bambooarch.platform.PlatformSettings;
 import org.bambooarch.platform.wire.WireFormatException;
+import org.tinylog.Logger;
 import sun.misc.Signal;
 
 /**
@@ -23,6 +24,8 @@
  */
 final class GatewayCommand implements Command {
 
+  private static final Signal RELOAD = new Signal("HUP");
+
   @Override
   public String name() {
     return "gateway";
@@ -49,13 +52,15 @@
 
   @Override
   public ExitCode run(OptionSet options, Console console) throws CommandException {
+    // First of all, since the default action of the signal ends the process.
+    Signal.handle(RELOAD, signal -> Logger.info("event=reload reason=\"still starting\""));
     Arguments.positional(0, "no arguments", options);
     // A slow reader of the log must not block threads that serve requests.
     System.setOut(AsyncLineWriter.standardOutput().asPrintStream());
     Path file = settingsFile(options);
     PlatformSettings settings = readSettings(file);
     Gateway gateway = PlatformGatewayFactory.create(settings);
-    Signal.handle(new Signal("HUP"), signal -> gateway.reload());
+    Signal.handle(RELOAD, signal -> gateway.reload());
     gateway.start();
     StopSignals signals = StopSignals.install(() -> {});
     signals.await();
