Tell in heartbeats which changes of the store's lists an instance knows

Change: heartbeats carry the era of the store and the version of the newest change known of the operators' and of the servers' list (three fields added; older builds send none and count as knowing nothing). So it suffices that one instance's call ends in time, and a call may wait for longer the more instances there are, at random and for 20 s at most. The rule for reading versions: all changes up to the version of a response are known, whatever lists they belong to, and other instances are compared by the newest change of one list.

--- a/core/src/main/java/org/bambooarch/core/steering/fleet/Heartbeat.java
+++ b/core/src/main/java/org/bambooarch/core/steering/fleet/Heartbeat.java
@@ -10,6 +10,7 @@
  * @param takesCallers whether look-ups may send callers to it
  * @param partitionedFromServers whether it is partitioned from all servers
  * @param configVersion version of the configuration that it applies
+ * @param listVersions newest changes of the store's lists that it knows
  * @param customerDemand requests per second that callers send it, by a hash of the customer's name
  * @param customerAdmitted requests that it admitted in the last window of the customers' limits, by
  *     the same hash
@@ -23,6 +24,7 @@
     boolean takesCallers,
     boolean partitionedFromServers,
     long configVersion,
+    ListVersions listVersions,
     Map<Integer, Double> customerDemand,
     Map<Integer, Integer> customerAdmitted,
     Map<Integer, Integer> inFlight,
--- a/core/src/test/java/org/bambooarch/core/steering/fleet/FleetTableTest.java
+++ b/core/src/test/java/org/bambooarch/core/steering/fleet/FleetTableTest.java
@@ -19,7 +19,7 @@
   private boolean receiveHeartbeat(String name, long incarnation, long atMillis) {
     InstanceIdentity sender = instance(name, incarnation);
     return table.onHeartbeat(
-        new Heartbeat(sender, true, false, 1, Map.of(), Map.of(), Map.of(), Map.of(), List.of()),
+        new Heartbeat(sender, true, false, 1, ListVersions.NONE, Map.of(), Map.of(), Map.of(), Map.of(), List.of()),
         atMillis * NANOS_PER_MILLI);
   }
 
--- a/core/src/test/java/org/bambooarch/core/steering/fleet/InstanceDirectoryTest.java
+++ b/core/src/test/java/org/bambooarch/core/steering/fleet/InstanceDirectoryTest.java
@@ -28,6 +28,7 @@
             takesCallers,
             partitioned,
             1,
+            ListVersions.NONE,
             Map.of(),
             Map.of(),
             Map.of(),
--- a/core/src/test/java/org/bambooarch/core/steering/fleet/RelayChoiceTest.java
+++ b/core/src/test/java/org/bambooarch/core/steering/fleet/RelayChoiceTest.java
@@ -22,6 +22,7 @@
             takesCallers,
             partitioned,
             1,
+            ListVersions.NONE,
             Map.of(),
             Map.of(),
             Map.of(),
--- a/core/src/test/java/org/bambooarch/core/steering/fleet/SimulatedFleet.java
+++ b/core/src/test/java/org/bambooarch/core/steering/fleet/SimulatedFleet.java
@@ -96,6 +96,7 @@
               from != leaving,
               false,
               1,
+              ListVersions.NONE,
               limiters.get(from).demandByCustomerHash(),
               limiters.get(from).reportAdmitted(nowNanos()),
               Map.of(),
--- a/core/src/test/java/org/bambooarch/core/steering/place/LimitSharesTest.java
+++ b/core/src/test/java/org/bambooarch/core/steering/place/LimitSharesTest.java
@@ -12,6 +12,7 @@
 import org.bambooarch.core.steering.fleet.FleetTable;
 import org.bambooarch.core.steering.fleet.Heartbeat;
 import org.bambooarch.core.steering.fleet.InstanceIdentity;
+import org.bambooarch.core.steering.fleet.ListVersions;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -54,6 +55,7 @@
           true,
           false,
           1,
+          ListVersions.NONE,
           Map.of(),
           Map.of(),
           table.ownInFlight(),
--- a/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
@@ -67,6 +67,7 @@
   private final ServerOwners limitOwners;
   private final LimitShares limitShares;
   private final CustomerRateLimiter rateLimiter;
+  private final ListProgress listProgress = new ListProgress();
   private final CrashHistory crashes = new CrashHistory();
   private final ServiceRetryBudgets retries;
   private final SmoothWeightedRoundRobin roundRobin = new SmoothWeightedRoundRobin();
@@ -218,6 +219,16 @@
     }
   }
 
+  /** Records a response of the store that was applied. */
+  void onListRead(Topic topic, ControlUpdate update) {
+    listProgress.onRead(topic, update);
+  }
+
+  /** Returns whether another instance knows a newer state of a list than this one. */
+  boolean isBehind(Topic topic) {
+    return listProgress.isBehind(topic) || (topic == Topic.OPERATOR && hasMissedConfiguration());
+  }
+
   /**
    * Records whether the store's last response about a list was a success, so that its changes are
    * known.
@@ -267,6 +278,7 @@
   public void onHeartbeat(Heartbeat heartbeat) {
     long nowNanos = clock.monotonicNanos();
     if (fleet.onHeartbeat(heartbeat, nowNanos)) {
+      listProgress.onReported(heartbeat.listVersions());
       newestKnownVersion = Math.max(newestKnownVersion, heartbeat.configVersion());
       crashes.onPeerCrashes(heartbeat.crashes(), nowNanos);
     }
@@ -342,6 +354,7 @@
         isReady(),
         isPartitionedFromServers(),
         config == null ? 0 : config.version(),
+        listProgress.own(),
         rateLimiter.demandByCustomerHash(),
         rateLimiter.reportAdmitted(clock.monotonicNanos()),
         servers.ownInFlight(),
--- a/gateway/src/main/java/org/bambooarch/gateway/control/ListWatcher.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ListWatcher.java
@@ -29,6 +29,15 @@
   /** Shortest time to wait for a change in one call; the platform bills calls. */
   private static final long MIN_LONG_POLL_MILLIS = 500;
 
+  /** Longest time to wait for a change in one call. */
+  private static final long MAX_LONG_POLL_MILLIS = 20_000;
+
+  /**
+   * How much more often than the bound requires the calls of all instances together end, as a
+   * divisor, since they do so at random times.
+   */
+  private static final long FLEET_OVERLAP = 2;
+
   /**
    * Delay after changes until the next call, so that a series of changes arrives in one response.
    */
@@ -52,7 +61,7 @@
   private final EventLoop loop;
   private final RandomGenerator random;
   private final StoreEra era;
-  private final long longPollMillis;
+  private final long aloneMillis;
   private boolean storeReachable = true;
   private boolean loaded;
   private boolean stopped;
@@ -65,7 +74,7 @@
    * Creates a watcher that makes no calls until {@link #start()}.
    *
    * @param maxListAgeMillis longest time until the list is up to date again after a response was
-   *     lost, in milliseconds
+   *     lost, in milliseconds, if there is no other instance
    */
   ListWatcher(
       Topic topic,
@@ -81,7 +90,7 @@
     this.loop = loop;
     this.random = random;
     this.era = era;
-    this.longPollMillis =
+    this.aloneMillis =
         Math.max(
             MIN_LONG_POLL_MILLIS,
             maxListAgeMillis - ControlStore.WATCH_RESPONSE_TIMEOUT_MILLIS - RECOVERY_MILLIS);
@@ -113,7 +122,7 @@
   void renew() {
     if (loaded && storeReachable && !stopped) {
       Logger.warn(
-          "event=watch-renewed list={} version={} reason=\"others know a newer configuration\"",
+          "event=watch-renewed list={} version={} reason=\"others know a newer state\"",
           topic,
           version);
       requestUpdate(0);
@@ -144,9 +153,17 @@
   /**
    * Returns how long the next call may wait for a change. While the store does not respond, calls
    * do not wait, so that its return is noticed at once.
+   *
+   * <p>An instance hears from any other one that knows more. The more there are, the longer each
+   * call may wait, as long as one of them ends in time.
    */
   private long waitMillis() {
-    return storeReachable ? longPollMillis : 0;
+    if (!storeReachable) {
+      return 0;
+    }
+    int instances = state.fleet().liveHeartbeats(state.clock().monotonicNanos()).size() + 1;
+    long fleetMillis = Math.min(MAX_LONG_POLL_MILLIS, instances * aloneMillis / FLEET_OVERLAP);
+    return Math.max(aloneMillis, fleetMillis / 2 + random.nextLong(fleetMillis / 2 + 1));
   }
 
   private void onFullList(long call, ControlUpdate update, Throwable failure) {
@@ -165,6 +182,7 @@
       return;
     }
     state.replaceList(topic, update);
+    state.onListRead(topic, update);
     loaded = true;
     version = update.version();
     requestNextUpdate();
@@ -189,6 +207,7 @@
       return;
     }
     version = Math.max(version, update.version());
+    state.onListRead(topic, update);
     if (update.changes().isEmpty()) {
       requestNextUpdate();
       return;
--- a/gateway/src/main/java/org/bambooarch/gateway/control/StoreSynchronizer.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/StoreSynchronizer.java
@@ -1,7 +1,9 @@
 package org.bambooarch.gateway.control;
 
 import io.netty.channel.EventLoop;
+import java.util.EnumMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.bambooarch.core.steering.fleet.InstanceIdentity;
@@ -26,25 +28,14 @@
    */
   private static final long MIN_REGISTER_RETRY_MILLIS = 700;
 
-  /**
-   * Time for which another instance has applied a newer configuration before the watch is renewed,
-   * in nanoseconds: 1 s. An answer that is not lost arrives earlier.
-   */
-  private static final long MIN_RENEW_DELAY_NANOS = 1_000_000_000L;
-
-  /** Longest time until the watch is renewed once more; each time is twice the one before. */
-  private static final long MAX_RENEW_DELAY_NANOS = 16_000_000_000L;
-
   private final ControlStore store;
   private final ControlState state;
   private final EventLoop loop;
   private final RandomGenerator random;
-  private final ListWatcher operatorWatcher;
-  private final List<ListWatcher> watchers;
+  private final Map<Topic, ListWatcher> watchers = new EnumMap<>(Topic.class);
+  private final Map<Topic, WatchRenewal> renewals = new EnumMap<>(Topic.class);
   private final StoreEra era = new StoreEra(this::onNewEra);
   private boolean stopped;
-  private long renewDelayNanos = MIN_RENEW_DELAY_NANOS;
-  private long renewNanos;
 
   /**
    * Creates a synchronizer that makes no calls until {@link #start()}.
@@ -62,24 +53,23 @@
     this.state = state;
     this.loop = loop;
     this.random = random;
-    this.operatorWatcher = newWatcher(Topic.OPERATOR, maxListAgeMillis);
-    this.watchers = List.of(operatorWatcher, newWatcher(Topic.SERVERS, maxListAgeMillis));
-  }
-
-  private ListWatcher newWatcher(Topic topic, long maxListAgeMillis) {
-    return new ListWatcher(topic, store, state, loop, random, era, maxListAgeMillis);
+    for (Topic topic : List.of(Topic.OPERATOR, Topic.SERVERS)) {
+      watchers.put(
+          topic, new ListWatcher(topic, store, state, loop, random, era, maxListAgeMillis));
+      renewals.put(topic, new WatchRenewal());
+    }
   }
 
   /** Starts to watch the lists, and registers this instance. */
   public void start() {
-    watchers.forEach(ListWatcher::start);
+    watchers.values().forEach(ListWatcher::start);
     register();
   }
 
   /** Stops watching and registering, and removes this instance from the list of instances. */
   public void stop() {
     stopped = true;
-    watchers.forEach(ListWatcher::stop);
+    watchers.values().forEach(ListWatcher::stop);
     store
         .deregister(identity())
         .whenComplete(
@@ -93,27 +83,22 @@
   }
 
   /**
-   * Watches the operators' list again if this instance has lacked a configuration that another one
-   * applies for too long: the notice of it was lost, and the watch would wait for the next change.
+   * Watches a list again if this instance has lacked a change that another one knows for too long.
    * Called every {@link ControlState#TICK_MILLIS}.
    */
   public void tick() {
     long nowNanos = state.clock().monotonicNanos();
-    if (!state.hasMissedConfiguration()) {
-      renewDelayNanos = MIN_RENEW_DELAY_NANOS;
-      renewNanos = nowNanos + renewDelayNanos;
-      return;
-    }
-    if (nowNanos - renewNanos >= 0) {
-      renewDelayNanos = Math.min(2 * renewDelayNanos, MAX_RENEW_DELAY_NANOS);
-      renewNanos = nowNanos + renewDelayNanos;
-      operatorWatcher.renew();
-    }
+    watchers.forEach(
+        (topic, watcher) -> {
+          if (renewals.get(topic).isDue(state.isBehind(topic), nowNanos)) {
+            watcher.renew();
+          }
+        });
   }
 
   private void onNewEra() {
     state.onStoreReverted();
-    watchers.forEach(ListWatcher::onNewEra);
+    watchers.values().forEach(ListWatcher::onNewEra);
     register();
   }
 
--- a/gateway/src/main/java/org/bambooarch/gateway/spi/ControlUpdate.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/spi/ControlUpdate.java
@@ -9,12 +9,19 @@
  * @param storeEra how often the store has returned from an older copy of its rows; versions of
  *     different eras cannot be compared
  * @param version version of the list, after which further changes can be watched
+ * @param newestChange version of the newest of the changes, 0 without changes
  * @param changes the full list as changes, or the changes since the earlier version, oldest first
  */
-public record ControlUpdate(long storeEra, long version, List<ControlChange> changes) {
+public record ControlUpdate(
+    long storeEra, long version, long newestChange, List<ControlChange> changes) {
 
   /** Copies the list of changes, so that the update is immutable. */
   public ControlUpdate {
     changes = List.copyOf(changes);
   }
+
+  /** Creates an update whose newest change is that of its version. */
+  public ControlUpdate(long storeEra, long version, List<ControlChange> changes) {
+    this(storeEra, version, changes.isEmpty() ? 0 : version, changes);
+  }
 }
--- a/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnection.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnection.java
@@ -291,7 +291,7 @@
     }
     readState = ReadState.IDLE;
     idleSinceNanos = clock.monotonicNanos();
-    TargetResponseListener finishedListener = listener;
+    final TargetResponseListener finishedListener = listener;
     listener = null;
     // The client of this response may have paused; the next request has another one.
     setAutoRead(true);
@@ -347,7 +347,7 @@
 
   private void failRequest(String reason) {
     reusable = false;
-    TargetResponseListener failedListener = listener;
+    final TargetResponseListener failedListener = listener;
     listener = null;
     readState = ReadState.IDLE;
     discardReceivedPart();
--- a/gateway/src/test/java/org/bambooarch/gateway/control/ControlStateTest.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/control/ControlStateTest.java
@@ -8,6 +8,7 @@
 import org.bambooarch.core.steering.config.SteeringConfig;
 import org.bambooarch.core.steering.fleet.Heartbeat;
 import org.bambooarch.core.steering.fleet.InstanceIdentity;
+import org.bambooarch.core.steering.fleet.ListVersions;
 import org.bambooarch.core.time.ManualClock;
 import org.bambooarch.gateway.spi.ControlChange;
 import org.bambooarch.gateway.spi.ControlUpdate;
@@ -31,10 +32,23 @@
   }
 
   static Heartbeat heartbeat(long configVersion) {
+    return heartbeat(configVersion, ListVersions.NONE);
+  }
+
+  static Heartbeat heartbeat(long configVersion, ListVersions listVersions) {
     InstanceIdentity sender =
         new InstanceIdentity("entry-2", 1, "north", "north-b", "10.0.0.2:1", "10.0.0.2:2");
     return new Heartbeat(
-        sender, true, false, configVersion, Map.of(), Map.of(), Map.of(), Map.of(), List.of());
+        sender,
+        true,
+        false,
+        configVersion,
+        listVersions,
+        Map.of(),
+        Map.of(),
+        Map.of(),
+        Map.of(),
+        List.of());
   }
 
   // Regression: an instance that the store turned away refused keys that other instances knew.
--- a/gateway/src/test/java/org/bambooarch/gateway/control/StoreSynchronizerTest.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/control/StoreSynchronizerTest.java
@@ -9,6 +9,7 @@
 import java.util.random.RandomGenerator;
 import org.bambooarch.core.steering.config.SteeringConfig;
 import org.bambooarch.core.steering.fleet.InstanceIdentity;
+import org.bambooarch.core.steering.fleet.ListVersions;
 import org.bambooarch.core.time.ManualClock;
 import org.bambooarch.gateway.spi.ControlStore;
 import org.bambooarch.gateway.spi.ControlUpdate;
@@ -28,6 +29,7 @@
   /** A store that loses the response to the first watch of the operators' list. */
   private static final class LosingStore implements ControlStore {
     private int operatorWatches;
+    private int serverWatches;
 
     @Override
     public CompletableFuture<ControlUpdate> read(Topic topic) {
@@ -39,7 +41,9 @@
 
     @Override
     public CompletableFuture<ControlUpdate> watch(Topic topic, long after, long waitMillis) {
-      if (topic == Topic.OPERATOR && ++operatorWatches == 2) {
+      if (topic == Topic.SERVERS) {
+        serverWatches++;
+      } else if (++operatorWatches == 2) {
         return CompletableFuture.completedFuture(ControlStateTest.configuration(8));
       }
       return new CompletableFuture<>();
@@ -58,9 +62,13 @@
 
   /** Runs the given number of ticks, with a heartbeat of another instance before each. */
   private void runTicks(int count, long peersConfigVersion) {
+    runTicks(count, peersConfigVersion, ListVersions.NONE);
+  }
+
+  private void runTicks(int count, long peersConfigVersion, ListVersions peersLists) {
     for (int i = 0; i < count; i++) {
       clock.advanceMillis(ControlState.TICK_MILLIS);
-      state.onHeartbeat(ControlStateTest.heartbeat(peersConfigVersion));
+      state.onHeartbeat(ControlStateTest.heartbeat(peersConfigVersion, peersLists));
       synchronizer.tick();
       channel.advanceTimeBy(ControlState.TICK_MILLIS, TimeUnit.MILLISECONDS);
       channel.runPendingTasks();
@@ -83,6 +91,36 @@
     assertThat(state.config().map(SteeringConfig::version)).contains(8L);
   }
 
+  // Regression: an instance whose watch of the servers was lost sent to leaving servers, while the
+  // others knew that they were leaving.
+  @Test
+  void should_watch_the_servers_again_when_another_instance_knows_a_newer_change_of_them() {
+    start();
+    long callsBefore = store.serverWatches;
+    runTicks(4, 7, new ListVersions(0, 7, 9));
+    assertThat(store.serverWatches).isEqualTo(callsBefore);
+
+    runTicks(8, 7, new ListVersions(0, 7, 9));
+    assertThat(store.serverWatches).isEqualTo(callsBefore + 1);
+  }
+
+  @Test
+  void should_not_watch_again_when_another_instance_knows_changes_that_were_read() {
+    start();
+    runTicks(100, 7, new ListVersions(0, 7, 7));
+
+    assertThat(store.operatorWatches).isEqualTo(1);
+    assertThat(store.serverWatches).isEqualTo(1);
+  }
+
+  @Test
+  void should_watch_again_when_another_instance_knows_of_a_later_era_of_the_store() {
+    start();
+    runTicks(12, 7, new ListVersions(1, 2, 2));
+
+    assertThat(store.serverWatches).isEqualTo(2);
+  }
+
   @Test
   void should_make_no_further_call_while_no_other_instance_applies_a_newer_configuration() {
     start();
--- a/peer/src/main/java/org/bambooarch/peer/codec/HeartbeatCodec.java
+++ b/peer/src/main/java/org/bambooarch/peer/codec/HeartbeatCodec.java
@@ -9,6 +9,7 @@
 import java.util.TreeSet;
 import org.bambooarch.core.steering.fleet.Heartbeat;
 import org.bambooarch.core.steering.fleet.InstanceIdentity;
+import org.bambooarch.core.steering.fleet.ListVersions;
 import org.bambooarch.peer.generated.FleetProtocol.HeartbeatMessage;
 
 /**
@@ -40,7 +41,10 @@
             .setPeersAddress(sender.peersAddress())
             .setTakesCallers(heartbeat.takesCallers())
             .setPartitionedFromServers(heartbeat.partitionedFromServers())
-            .setConfigVersion(heartbeat.configVersion());
+            .setConfigVersion(heartbeat.configVersion())
+            .setStoreEra(heartbeat.listVersions().storeEra())
+            .setOperatorsChange(heartbeat.listVersions().operatorsChange())
+            .setServersChange(heartbeat.listVersions().serversChange());
     Set<Integer> customers = new TreeSet<>(heartbeat.customerDemand().keySet());
     customers.addAll(heartbeat.customerAdmitted().keySet());
     for (Integer customer : customers) {
@@ -120,6 +124,8 @@
         message.getTakesCallers(),
         message.getPartitionedFromServers(),
         message.getConfigVersion(),
+        new ListVersions(
+            message.getStoreEra(), message.getOperatorsChange(), message.getServersChange()),
         demand,
         admitted,
         inFlight,
--- a/peer/src/test/java/org/bambooarch/peer/codec/HeartbeatCodecTest.java
+++ b/peer/src/test/java/org/bambooarch/peer/codec/HeartbeatCodecTest.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import org.bambooarch.core.steering.fleet.Heartbeat;
 import org.bambooarch.core.steering.fleet.InstanceIdentity;
+import org.bambooarch.core.steering.fleet.ListVersions;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -27,6 +28,7 @@
             true,
             partitioned,
             12,
+            new ListVersions(2, 40, 55),
             Map.of(5, 2.25),
             Map.of(5, 3),
             Map.of(9, 1),
@@ -51,6 +53,7 @@
     assertThat(decoded.sender()).isEqualTo(SENDER);
     assertThat(decoded.customerDemand()).containsExactly(Map.entry(5, 2.25));
     assertThat(decoded.customerAdmitted()).isEmpty();
+    assertThat(decoded.listVersions()).isEqualTo(ListVersions.NONE);
     assertThat(decoded.inFlight()).containsExactly(Map.entry(9, 1));
   }
 
@@ -71,6 +74,7 @@
                 true,
                 false,
                 12,
+                ListVersions.NONE,
                 Map.of(5, 2.25),
                 Map.of(5, 3),
                 Map.of(9, 1),
