Send heartbeats to instances that have been silent for minutes

Cause: an instance that had been silent for a minute was removed and sent no more heartbeats. Both sides did so at the same time, nothing was sent across after the cut, and both divided each customer's whole rate among themselves.

Change: instances that no longer count are sent a heartbeat every 2 s for an hour. Whoever hears one knows the sender again. Shares are divided as before.

What both sides give out while they are apart is unchanged and stays open.

--- a/core/src/main/java/org/bambooarch/core/steering/fleet/FleetTable.java
+++ b/core/src/main/java/org/bambooarch/core/steering/fleet/FleetTable.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -11,8 +12,8 @@
  * The other instances, as known from their heartbeats and from the platform's list.
  *
  * <p>An instance counts as live while its heartbeats arrive. An instance that fell silent is still
- * sent heartbeats for {@link #REMOVE_AFTER_NANOS}, so that both sides find each other again after a
- * network partition.
+ * sent heartbeats for {@link #REMOVE_AFTER_NANOS}, and after that at a lower rate, so that both
+ * sides find each other again after a network partition.
  *
  * <p>Not thread-safe.
  */
@@ -40,13 +41,14 @@
   public static final long POSSIBLY_ALIVE_NANOS = 10_000_000_000L;
 
   /**
-   * Silence after which an instance is removed and is sent no more heartbeats, in nanoseconds. This
-   * minute is longer than most network partitions.
+   * Silence after which an instance no longer counts as known, in nanoseconds. This minute is
+   * longer than most network partitions.
    */
   public static final long REMOVE_AFTER_NANOS = 60_000_000_000L;
 
   private final InstanceIdentity self;
   private final Map<String, Peer> peers = new HashMap<>();
+  private final FormerInstances former = new FormerInstances();
   private boolean listRead;
 
   private static final class Peer {
@@ -82,7 +84,7 @@
     if (instance.name().equals(self.name())) {
       return;
     }
-    Peer peer = peers.computeIfAbsent(instance.name(), name -> new Peer());
+    Peer peer = peer(instance.name());
     if (peer.identity == null || peer.identity.incarnation() < instance.incarnation()) {
       peer.identity = instance;
     }
@@ -100,7 +102,7 @@
     if (sender.name().equals(self.name())) {
       return false;
     }
-    Peer peer = peers.computeIfAbsent(sender.name(), name -> new Peer());
+    Peer peer = peer(sender.name());
     boolean fromEarlierRun = peer.heard && sender.incarnation() < peer.identity.incarnation();
     if (fromEarlierRun && nowNanos - peer.heardNanos < LIVENESS_TIMEOUT_NANOS) {
       // A late datagram. After the silence, a lower number is a new run whose clock was set back.
@@ -113,18 +115,35 @@
     return true;
   }
 
+  private Peer peer(String name) {
+    former.remove(name);
+    return peers.computeIfAbsent(name, newName -> new Peer());
+  }
+
   /** Removes instances that have been silent for longer than {@link #REMOVE_AFTER_NANOS}. */
   public void tick(long nowNanos) {
-    peers.values().removeIf(peer -> nowNanos - lastSeenNanos(peer) > REMOVE_AFTER_NANOS);
+    Iterator<Peer> iterator = peers.values().iterator();
+    while (iterator.hasNext()) {
+      Peer peer = iterator.next();
+      if (nowNanos - lastSeenNanos(peer) > REMOVE_AFTER_NANOS) {
+        iterator.remove();
+        former.add(peer.identity, nowNanos);
+      }
+    }
   }
 
   private static long lastSeenNanos(Peer peer) {
     return peer.heard ? peer.heardNanos : peer.listedNanos;
   }
 
-  /** Returns the other instances to which heartbeats are sent, live or silent. */
-  public Collection<InstanceIdentity> heartbeatRecipients() {
-    return peers.values().stream().map(peer -> peer.identity).toList();
+  /**
+   * Returns the other instances to which a heartbeat is due, live or silent. It must be sent at
+   * once, since it counts as sent.
+   */
+  public Collection<InstanceIdentity> takeHeartbeatRecipients(long nowNanos) {
+    List<InstanceIdentity> recipients = new ArrayList<>(former.takeDue(nowNanos));
+    peers.values().forEach(peer -> recipients.add(peer.identity));
+    return recipients;
   }
 
   /** Returns the newest heartbeat of each other instance that is live. */
--- a/core/src/test/java/org/bambooarch/core/steering/fleet/FleetTableTest.java
+++ b/core/src/test/java/org/bambooarch/core/steering/fleet/FleetTableTest.java
@@ -19,7 +19,17 @@
   private boolean receiveHeartbeat(String name, long incarnation, long atMillis) {
     InstanceIdentity sender = instance(name, incarnation);
     return table.onHeartbeat(
-        new Heartbeat(sender, true, false, 1, ListVersions.NONE, Map.of(), Map.of(), Map.of(), Map.of(), List.of()),
+        new Heartbeat(
+            sender,
+            true,
+            false,
+            1,
+            ListVersions.NONE,
+            Map.of(),
+            Map.of(),
+            Map.of(),
+            Map.of(),
+            List.of()),
         atMillis * NANOS_PER_MILLI);
   }
 
@@ -83,4 +93,47 @@
     assertThat(table.mayBePartitioned(800 * NANOS_PER_MILLI)).isTrue();
     assertThat(table.mayBePartitioned(10_100 * NANOS_PER_MILLI)).isFalse();
   }
+
+  private int heartbeatsSentTo(String name, long fromMillis, long toMillis) {
+    int heartbeats = 0;
+    for (long millis = fromMillis; millis < toMillis; millis += 500) {
+      long nowNanos = millis * NANOS_PER_MILLI;
+      table.tick(nowNanos);
+      heartbeats +=
+          (int)
+              table.takeHeartbeatRecipients(nowNanos).stream()
+                  .filter(recipient -> recipient.name().equals(name))
+                  .count();
+    }
+    return heartbeats;
+  }
+
+  // Regression: after a network partition of more than a minute no instance of either side sent
+  // heartbeats to the other one, so that both gave out each customer's whole rate.
+  @Test
+  void should_send_heartbeats_to_an_instance_that_has_been_silent_for_minutes() {
+    receiveHeartbeat("other", 7, 0);
+    heartbeatsSentTo("other", 0, 300_000);
+
+    assertThat(heartbeatsSentTo("other", 300_000, 302_000)).isEqualTo(1);
+    assertThat(table.knownInstances()).isEqualTo(1);
+  }
+
+  @Test
+  void should_know_an_instance_again_when_it_is_heard_after_minutes_of_silence() {
+    receiveHeartbeat("other", 7, 0);
+    heartbeatsSentTo("other", 0, 300_000);
+    receiveHeartbeat("other", 7, 300_000);
+
+    assertThat(table.knownInstances()).isEqualTo(2);
+    assertThat(heartbeatsSentTo("other", 300_000, 302_000)).isEqualTo(4);
+  }
+
+  @Test
+  void should_forget_an_instance_that_has_been_silent_for_hours() {
+    receiveHeartbeat("other", 7, 0);
+    heartbeatsSentTo("other", 0, 2 * 3_600_000L);
+
+    assertThat(heartbeatsSentTo("other", 2 * 3_600_000L, 2 * 3_600_000L + 10_000)).isZero();
+  }
 }
--- a/gateway/src/main/java/org/bambooarch/gateway/control/PeerSocket.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/PeerSocket.java
@@ -47,7 +47,8 @@
   /** Sends a heartbeat to every known instance. Called on the event loop only. */
   public void sendHeartbeats() {
     byte[] bytes = HeartbeatCodec.encode(state.createHeartbeat());
-    for (InstanceIdentity instance : state.fleet().heartbeatRecipients()) {
+    for (InstanceIdentity instance :
+        state.fleet().takeHeartbeatRecipients(state.clock().monotonicNanos())) {
       ByteBuf content = Unpooled.wrappedBuffer(bytes);
       channel.write(new DatagramPacket(content, addressOf(instance)), channel.voidPromise());
     }
