Read a connection up to three times in a turn of the event loop

Change: three reads of 16 KiB at most. The decoding throttle bounds what follows in the next turns as before.

--- a/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnectionPool.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnectionPool.java
@@ -49,8 +49,13 @@
    */
   private static final long MAX_LAG_NANOS = 200_000_000L;
 
-  /** Most bytes that are read from a connection before the event loop turns to the others. */
-  private static final int MAX_BYTES_PER_TURN = 16 * 1024;
+  /**
+   * Most reads from a connection before the event loop turns to the others. Most responses fit into
+   * one or two, and each further turn costs processor time.
+   */
+  private static final int MAX_READS_PER_TURN = 3;
+
+  private static final int MAX_READ_BUFFER_BYTES = 16 * 1024;
 
   private static final int MIN_READ_BUFFER_BYTES = 64;
   private static final int FIRST_READ_BUFFER_BYTES = 2 * 1024;
@@ -105,13 +110,13 @@
     this.observer = observer;
     this.bootstrap = new Bootstrap().group(loop).channel(NettyTransport.socketChannelType());
     NettyTransport.socketOptions().forEach(this::option);
-    option(ChannelOption.RECVBUF_ALLOCATOR, oneReadPerTurn());
+    option(ChannelOption.RECVBUF_ALLOCATOR, fewReadsPerTurn());
   }
 
-  private static RecvByteBufAllocator oneReadPerTurn() {
+  private static RecvByteBufAllocator fewReadsPerTurn() {
     return new AdaptiveRecvByteBufAllocator(
-            MIN_READ_BUFFER_BYTES, FIRST_READ_BUFFER_BYTES, MAX_BYTES_PER_TURN)
-        .maxMessagesPerRead(1);
+            MIN_READ_BUFFER_BYTES, FIRST_READ_BUFFER_BYTES, MAX_READ_BUFFER_BYTES)
+        .maxMessagesPerRead(MAX_READS_PER_TURN);
   }
 
   @SuppressWarnings("unchecked")
