Stop reading in a turn of the event loop by what was decoded, not by reads

Cause: one read of 16 KiB in a turn made every response that is longer than the first buffer take another turn. Three reads were not measured.

After 256 objects in a turn no more is read in it, whatever stage of a response they belong to, and within a body reading pauses as it did. A part of over 64 KiB is passed on at once, so that a long body is not collected for a whole turn.

TargetConnectionReadingTest and EndlessResponseTest pass.

--- a/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnection.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnection.java
@@ -36,6 +36,9 @@
   /** Most bytes that are skipped before the response to a request begins. */
   private static final long MAX_SKIPPED_BYTES = 1024 * 1024;
 
+  /** Length from which a part of the body is passed on without waiting for more. */
+  private static final int MAX_PART_BYTES = 64 * 1024;
+
   private enum ReadState {
     IDLE,
     HEAD,
@@ -198,6 +201,10 @@
   public void channelRead(ChannelHandlerContext context, Object message) {
     pool.onRead();
     throttle.onObject();
+    if (throttle.isExceeded() && readState != ReadState.IDLE) {
+      throttled = true;
+      updateAutoRead();
+    }
     try {
       if (message instanceof HttpObject object) {
         onObject(object);
@@ -210,12 +217,11 @@
   @Override
   public void channelReadComplete(ChannelHandlerContext context) {
     passReceivedPartOn();
-    long pauseNanos = throttle.pauseNanosAfterRead();
-    // What is skipped before the response has a limit of its own.
-    if (pauseNanos > 0 && readState == ReadState.BODY) {
-      throttled = true;
-      updateAutoRead();
-      channel.eventLoop().schedule(this::resume, pauseNanos, TimeUnit.NANOSECONDS);
+    long pauseNanos = throttle.endTurn();
+    if (throttled) {
+      // What is skipped before the response has a limit of its own, and goes on in the next turn.
+      long delayNanos = readState == ReadState.BODY ? pauseNanos : 0;
+      channel.eventLoop().schedule(this::resume, delayNanos, TimeUnit.NANOSECONDS);
     }
   }
 
@@ -294,12 +300,16 @@
     final TargetResponseListener finishedListener = listener;
     listener = null;
     // The client of this response may have paused; the next request has another one.
+    throttled = false;
     setAutoRead(true);
     pool.release(this, reusable && channel.isActive());
     finishedListener.onComplete();
   }
 
-  /** Joins the chunks of one read, since the listener handles each part on its own. */
+  /**
+   * Joins the chunks that are read in one turn of the event loop, since the listener handles each
+   * part on its own.
+   */
   private void collect(ByteBuf chunk) {
     if (!chunk.isReadable()) {
       return;
@@ -311,6 +321,9 @@
     receivedPart =
         ByteToMessageDecoder.MERGE_CUMULATOR.cumulate(
             channel.alloc(), receivedPart, chunk.retain());
+    if (receivedPart.readableBytes() >= MAX_PART_BYTES) {
+      passReceivedPartOn();
+    }
   }
 
   private void passReceivedPartOn() {
--- a/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnectionPool.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnectionPool.java
@@ -1,14 +1,12 @@
 package org.bambooarch.gateway.target;
 
 import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.RecvByteBufAllocator;
 import io.netty.handler.codec.http.HttpClientCodec;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
@@ -49,17 +47,6 @@
    */
   private static final long MAX_LAG_NANOS = 200_000_000L;
 
-  /**
-   * Most reads from a connection before the event loop turns to the others. Most responses fit into
-   * one or two, and each further turn costs processor time.
-   */
-  private static final int MAX_READS_PER_TURN = 3;
-
-  private static final int MAX_READ_BUFFER_BYTES = 16 * 1024;
-
-  private static final int MIN_READ_BUFFER_BYTES = 64;
-  private static final int FIRST_READ_BUFFER_BYTES = 2 * 1024;
-
   private static final int MAX_IDLE_CONNECTIONS = 8;
   private static final int MAX_INITIAL_LINE_BYTES = 8 * 1024;
   private static final int MAX_HEADER_BYTES = 64 * 1024;
@@ -110,13 +97,6 @@
     this.observer = observer;
     this.bootstrap = new Bootstrap().group(loop).channel(NettyTransport.socketChannelType());
     NettyTransport.socketOptions().forEach(this::option);
-    option(ChannelOption.RECVBUF_ALLOCATOR, fewReadsPerTurn());
-  }
-
-  private static RecvByteBufAllocator fewReadsPerTurn() {
-    return new AdaptiveRecvByteBufAllocator(
-            MIN_READ_BUFFER_BYTES, FIRST_READ_BUFFER_BYTES, MAX_READ_BUFFER_BYTES)
-        .maxMessagesPerRead(MAX_READS_PER_TURN);
   }
 
   @SuppressWarnings("unchecked")
