Log how old the configuration was by which a request was refused

The line of such a refusal has the version in force but not since when the store has not confirmed that it is the newest, so the log cannot tell an instance that has missed a version from one whose watch has gone silent.

The control state keeps the time of the last call about the operators' list that the store has responded to, and the lines of 401, 404 and 413 and of the refusals in their place state its age. No decision changes.

--- a/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
@@ -74,6 +74,7 @@
   private final Set<String> listedClosed = new HashSet<>();
   private SteeringConfig config;
   private long newestKnownVersion;
+  private long configurationAsOfNanos;
   private boolean operatorListReachable = true;
   private boolean keepsClosed;
   private long keepClosedUntilNanos;
@@ -219,9 +220,16 @@
     }
   }
 
-  /** Records a response of the store that was applied. */
-  void onListRead(Topic topic, ControlUpdate update) {
+  /**
+   * Records a response of the store that was applied.
+   *
+   * @param askedNanos monotonic time of the call; the list holds as of then, or as of a later time
+   */
+  void onListRead(Topic topic, ControlUpdate update, long askedNanos) {
     listProgress.onRead(topic, update);
+    if (topic == Topic.OPERATOR) {
+      configurationAsOfNanos = askedNanos;
+    }
   }
 
   /** Returns whether another instance knows a newer state of a list than this one. */
@@ -239,6 +247,15 @@
     }
   }
 
+  /**
+   * Returns for how long operators may have written a newer configuration without this instance
+   * having learned of it, in milliseconds: the time since the last call about their list to which
+   * the store has responded.
+   */
+  public long configurationAgeMillis() {
+    return (clock.monotonicNanos() - configurationAsOfNanos) / 1_000_000L;
+  }
+
   /**
    * Returns whether operators may have written a newer configuration than the one in force here:
    * the store cannot be watched, or another instance has applied a newer one.
--- a/gateway/src/main/java/org/bambooarch/gateway/control/ListWatcher.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ListWatcher.java
@@ -139,14 +139,17 @@
     }
     // The response to a call is ignored if another call has been made since.
     long call = ++callNumber;
+    long askedNanos = state.clock().monotonicNanos();
     if (loaded) {
       store
           .watch(topic, version, waitMillis)
-          .whenCompleteAsync((update, failure) -> onChanges(call, update, failure), loop);
+          .whenCompleteAsync(
+              (update, failure) -> onChanges(call, askedNanos, update, failure), loop);
     } else {
       store
           .read(topic)
-          .whenCompleteAsync((update, failure) -> onFullList(call, update, failure), loop);
+          .whenCompleteAsync(
+              (update, failure) -> onFullList(call, askedNanos, update, failure), loop);
     }
   }
 
@@ -166,7 +169,7 @@
     return Math.max(aloneMillis, fleetMillis / 2 + random.nextLong(fleetMillis / 2 + 1));
   }
 
-  private void onFullList(long call, ControlUpdate update, Throwable failure) {
+  private void onFullList(long call, long askedNanos, ControlUpdate update, Throwable failure) {
     if (call != callNumber) {
       return;
     }
@@ -182,13 +185,13 @@
       return;
     }
     state.replaceList(topic, update);
-    state.onListRead(topic, update);
+    state.onListRead(topic, update, askedNanos);
     loaded = true;
     version = update.version();
     requestNextUpdate();
   }
 
-  private void onChanges(long call, ControlUpdate update, Throwable failure) {
+  private void onChanges(long call, long askedNanos, ControlUpdate update, Throwable failure) {
     if (call != callNumber) {
       return;
     }
@@ -207,7 +210,7 @@
       return;
     }
     version = Math.max(version, update.version());
-    state.onListRead(topic, update);
+    state.onListRead(topic, update, askedNanos);
     if (update.changes().isEmpty()) {
       requestNextUpdate();
       return;
--- a/gateway/src/main/java/org/bambooarch/gateway/request/ProxyService.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/ProxyService.java
@@ -202,9 +202,13 @@
           RequestOutcome.CONFIGURATION_OUTDATED,
           503,
           noConfigurationRetryMillis(clientHeaders),
-          "refused-as=" + GatewayMetrics.labelOf(outcome));
+          "refused-as=%s %s".formatted(GatewayMetrics.labelOf(outcome), configurationAge()));
     }
-    return refuse(request, clientHeaders, outcome, status, 0);
+    return refuse(request, clientHeaders, outcome, status, 0, configurationAge());
+  }
+
+  private String configurationAge() {
+    return "config-age-millis=" + context.state().configurationAgeMillis();
   }
 
   private HttpResponse refuse(
--- a/gateway/src/test/java/org/bambooarch/gateway/control/ControlStateTest.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/control/ControlStateTest.java
@@ -90,4 +90,15 @@
     state.applyChanges(configuration(8));
     assertThat(state.isConfigurationOutdated()).isFalse();
   }
+
+  @Test
+  void should_count_the_age_of_the_configuration_from_the_last_call_with_a_response() {
+    clock.advanceMillis(500);
+    state.replaceList(Topic.OPERATOR, configuration(7));
+    state.onListRead(Topic.OPERATOR, configuration(7), clock.monotonicNanos());
+    clock.advanceMillis(900);
+    state.onListRead(Topic.SERVERS, configuration(7), clock.monotonicNanos());
+
+    assertThat(state.configurationAgeMillis()).isEqualTo(900);
+  }
 }
