Ask the store before a request is refused for good

The store had gone silent right after all instances had begun to watch the operators' list anew. None of them noticed before its watch had ended, so all of them took the old configuration for the newest, also after the store was back, and refused the keys that had been added since.

Cause: that no news has come was taken as confirmation that there are none.

Change: 401, 404 and 413 are given only by a configuration that the store was asked about in the last second. Otherwise the instance asks the store, beside its watch, while the request waits for at most 0.3 s; without an answer, or with a newer configuration, the caller gets a 503 with a retry hint. One call serves all requests of that time. A check that fails is handled as a lost watch, and one that shows changes replaces the watch, so the silence ends there too. The same for 413 when only the chunks of a body show its length, which did not ask at all before.

--- a/gateway/src/main/java/org/bambooarch/gateway/Gateway.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/Gateway.java
@@ -140,6 +140,7 @@
         new GatewayContext(
             state,
             relaySelectorOf.apply(state),
+            storeSynchronizer::checkConfiguration,
             targetClient,
             requestFormat,
             loop,
--- a/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
@@ -51,6 +51,12 @@
    */
   private static final long KEEP_CLOSED_NANOS = 5_000_000_000L;
 
+  /**
+   * Longest time since the store was asked for the newest configuration for which requests may be
+   * refused for good by it, in milliseconds. Changes must be in force everywhere after two seconds.
+   */
+  private static final long MAX_CONFIRMED_AGE_MILLIS = 1_000;
+
   /** Time between two calls of {@link #tick()}. */
   public static final long TICK_MILLIS = 100;
 
@@ -256,6 +262,14 @@
     return (clock.monotonicNanos() - configurationAsOfNanos) / 1_000_000L;
   }
 
+  /**
+   * Returns whether the store has lately confirmed that the configuration in force is the newest,
+   * so that requests that it does not permit may be refused for good.
+   */
+  public boolean isConfigurationConfirmed() {
+    return !isConfigurationOutdated() && configurationAgeMillis() <= MAX_CONFIRMED_AGE_MILLIS;
+  }
+
   /**
    * Returns whether operators may have written a newer configuration than the one in force here:
    * the store cannot be watched, or another instance has applied a newer one.
--- a/gateway/src/main/java/org/bambooarch/gateway/control/ListWatcher.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ListWatcher.java
@@ -1,6 +1,7 @@
 package org.bambooarch.gateway.control;
 
 import io.netty.channel.EventLoop;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
@@ -69,6 +70,7 @@
   private long listEra;
   private long callNumber;
   private long retryDelayMillis = MIN_RETRY_DELAY_MILLIS;
+  private CompletableFuture<Void> checkInProgress;
 
   /**
    * Creates a watcher that makes no calls until {@link #start()}.
@@ -129,6 +131,42 @@
     }
   }
 
+  /**
+   * Asks the store for changes at once, beside the watch in progress, since the response to that
+   * one may have been lost. Does nothing while the list is read in full or the store is not
+   * reachable.
+   *
+   * @return a future that completes when the response has been applied or the call has failed
+   */
+  CompletableFuture<Void> check() {
+    if (!loaded || !storeReachable || stopped) {
+      return CompletableFuture.completedFuture(null);
+    }
+    if (checkInProgress == null) {
+      long call = callNumber;
+      long askedNanos = state.clock().monotonicNanos();
+      checkInProgress =
+          store
+              .watch(topic, version, 0)
+              .handleAsync((update, failure) -> onChecked(call, askedNanos, update, failure), loop);
+    }
+    return checkInProgress;
+  }
+
+  private Void onChecked(long call, long askedNanos, ControlUpdate update, Throwable failure) {
+    checkInProgress = null;
+    if (call != callNumber) {
+      return null;
+    }
+    if (failure == null && update.storeEra() == listEra && update.changes().isEmpty()) {
+      state.onListRead(topic, update, askedNanos);
+      return null;
+    }
+    // The response to the watch in progress is ignored from here on.
+    onChanges(++callNumber, askedNanos, update, failure);
+    return null;
+  }
+
   private void requestNextUpdate() {
     requestUpdate(waitMillis());
   }
--- a/gateway/src/main/java/org/bambooarch/gateway/control/StoreSynchronizer.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/StoreSynchronizer.java
@@ -4,6 +4,7 @@
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.bambooarch.core.steering.fleet.InstanceIdentity;
@@ -96,6 +97,11 @@
         });
   }
 
+  /** Asks the store whether operators have written a newer configuration. */
+  public CompletableFuture<Void> checkConfiguration() {
+    return watchers.get(Topic.OPERATOR).check();
+  }
+
   private void onNewEra() {
     state.onStoreReverted();
     watchers.values().forEach(ListWatcher::onNewEra);
--- a/gateway/src/main/java/org/bambooarch/gateway/request/GatewayContext.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/GatewayContext.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.util.random.RandomGenerator;
+import org.bambooarch.gateway.control.ConfigurationCheck;
 import org.bambooarch.gateway.control.ControlState;
 import org.bambooarch.gateway.control.RelaySelector;
 import org.bambooarch.gateway.observability.GatewayMetrics;
@@ -14,6 +15,7 @@
  *
  * @param state configuration, servers and other state from which decisions about requests are made
  * @param relaySelector tells when requests must go through another instance
+ * @param configurationCheck asks the store whether the configuration in force is the newest
  * @param targetClient HTTP client for the servers
  * @param requestFormat wire format of the headers of requests and responses
  * @param loop the only event loop of the instance
@@ -24,6 +26,7 @@
 public record GatewayContext(
     ControlState state,
     RelaySelector relaySelector,
+    ConfigurationCheck configurationCheck,
     TargetHttpClient targetClient,
     RequestFormat requestFormat,
     EventLoop loop,
--- a/gateway/src/main/java/org/bambooarch/gateway/request/ProxyExchange.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/ProxyExchange.java
@@ -17,6 +17,7 @@
 import org.bambooarch.core.steering.config.HomeRegions;
 import org.bambooarch.core.steering.config.ServicePolicy;
 import org.bambooarch.core.steering.config.ServiceRoute;
+import org.bambooarch.core.steering.config.SteeringConfig;
 import org.bambooarch.core.steering.fleet.InstanceIdentity;
 import org.bambooarch.core.steering.hash.Hashes;
 import org.bambooarch.core.steering.place.NoRoomDetails;
@@ -60,6 +61,7 @@
   private final Optional<CustomerPolicy> customer;
   private final HttpResponseWriter writer;
   private final BooleanSupplier newestOnConnection;
+  private final SteeringConfig admittedBy;
   private final String service;
   private final RetryDecider retryDecider;
   private final HomeRegions homeRegions;
@@ -84,7 +86,7 @@
       Optional<CustomerPolicy> customer,
       HttpResponseWriter writer,
       BooleanSupplier newestOnConnection,
-      long maxBodyBytes) {
+      SteeringConfig admittedBy) {
     this.context = context;
     this.state = context.state();
     this.headers = headers;
@@ -96,7 +98,8 @@
     this.service = state.roundRobin().next(route);
     this.retryDecider = new RetryDecider(route, service, state.retries());
     this.homeRegions = HomeRegions.of(route, customer);
-    this.body = new ClientRequestBody(this, maxBodyBytes);
+    this.admittedBy = admittedBy;
+    this.body = new ClientRequestBody(this, admittedBy.callerLimits().maxBodyBytes());
     this.log = new RequestLogger(context, clientHeaders, route, service, customer);
     // The request may have been unread for as long as the event loop is behind.
     this.arrivedNanos = state.clock().monotonicNanos() - state.eventLoopLagNanos();
@@ -145,7 +148,21 @@
   @Override
   public void onBodyTooLarge() {
     cancelServerRequest();
-    refuse(RequestOutcome.TOO_LARGE, 413, 0);
+    requestHandle = null;
+    if (state.isConfigurationConfirmed()) {
+      refuse(RequestOutcome.TOO_LARGE, 413, 0);
+      return;
+    }
+    context.configurationCheck().check().thenRun(this::refuseTooLarge);
+  }
+
+  /** Refuses the request for good only if the limit is known to be the newest. */
+  private void refuseTooLarge() {
+    if (state.isConfigurationConfirmed() && state.config().filter(admittedBy::equals).isPresent()) {
+      refuse(RequestOutcome.TOO_LARGE, 413, 0);
+    } else {
+      refuseWithoutServer(RequestOutcome.CONFIGURATION_OUTDATED, DEFAULT_RETRY_AFTER_MILLIS);
+    }
   }
 
   @Override
--- a/gateway/src/main/java/org/bambooarch/gateway/request/ProxyService.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/ProxyService.java
@@ -12,6 +12,8 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.bambooarch.core.key.KeyDigest;
 import org.bambooarch.core.steering.config.CustomerPolicy;
 import org.bambooarch.core.steering.config.ServiceRoute;
@@ -39,6 +41,9 @@
   /** Random part on top of that hint, so that clients do not retry at the same time. */
   private static final long NO_CONFIGURATION_SPREAD_MILLIS = 150;
 
+  /** Longest time for which a request waits for the store to confirm the configuration. */
+  private static final long MAX_CHECK_MILLIS = 300;
+
   /**
    * Part of the time that a client waits after which it gives up a request that was not read, as a
    * divisor.
@@ -107,17 +112,17 @@
     Optional<ServiceRoute> route =
         config.routeOf(Optional.ofNullable(headers.authority()).orElse(""), pathOf(headers.path()));
     if (route.isEmpty()) {
-      return refuseByConfiguration(request, clientHeaders, RequestOutcome.NO_ROUTE, 404);
+      return refuseByConfiguration(request, clientHeaders, config, RequestOutcome.NO_ROUTE, 404);
     }
     Optional<CustomerPolicy> customer =
         clientHeaders.apiKey().flatMap(key -> config.customerOfKey(KeyDigest.of(key)));
     boolean requiresKey = config.requiresKeys() && !route.get().openToAll();
     if (requiresKey && customer.isEmpty()) {
-      return refuseByConfiguration(request, clientHeaders, RequestOutcome.KEY_REJECTED, 401);
+      return refuseByConfiguration(
+          request, clientHeaders, config, RequestOutcome.KEY_REJECTED, 401);
     }
-    long maxBodyBytes = config.callerLimits().maxBodyBytes();
-    if (headers.contentLength() > maxBodyBytes) {
-      return refuseByConfiguration(request, clientHeaders, RequestOutcome.TOO_LARGE, 413);
+    if (headers.contentLength() > config.callerLimits().maxBodyBytes()) {
+      return refuseByConfiguration(request, clientHeaders, config, RequestOutcome.TOO_LARGE, 413);
     }
     long lagMillis = context.state().eventLoopLagNanos() / 1_000_000L;
     if (lagMillis * UNREAD_TIMEOUT_DIVISOR > clientHeaders.timeoutMillisOn(route.get())) {
@@ -144,7 +149,7 @@
     }
     Optional<CustomerPolicy> chargedCustomer = requiresKey ? customer : Optional.empty();
     return startExchange(
-        armeriaContext, request, clientHeaders, route.get(), chargedCustomer, maxBodyBytes);
+        armeriaContext, request, clientHeaders, route.get(), chargedCustomer, config);
   }
 
   private HttpResponse startExchange(
@@ -153,7 +158,7 @@
       ClientRequestHeaders clientHeaders,
       ServiceRoute route,
       Optional<CustomerPolicy> customer,
-      long maxBodyBytes) {
+      SteeringConfig config) {
     HttpResponseWriter writer = HttpResponse.streaming();
     Channel channel = channelOf(armeriaContext);
     ClientConnection connection = ClientConnection.of(channel);
@@ -167,7 +172,7 @@
             customer,
             writer,
             () -> connection.isNewest(number),
-            maxBodyBytes);
+            config);
     inFlight++;
     // Armeria reports that the client has disconnected a second later than the connection does.
     ChannelFutureListener onClosed = closed -> exchange.onClientDisconnected();
@@ -191,20 +196,54 @@
 
   /**
    * Refuses a request that the configuration in force does not permit. Clients take the status as
-   * final, so if the configuration may be outdated, they are told to try another instance instead.
+   * final, so the store is asked first whether that configuration is the newest, unless it has
+   * confirmed that lately.
    */
   private HttpResponse refuseByConfiguration(
-      HttpRequest request, ClientRequestHeaders clientHeaders, RequestOutcome outcome, int status) {
-    if (context.state().isConfigurationOutdated()) {
-      return refuse(
-          request,
-          clientHeaders,
-          RequestOutcome.CONFIGURATION_OUTDATED,
-          503,
-          noConfigurationRetryMillis(clientHeaders),
-          "refused-as=%s %s".formatted(GatewayMetrics.labelOf(outcome), configurationAge()));
+      HttpRequest request,
+      ClientRequestHeaders clientHeaders,
+      SteeringConfig config,
+      RequestOutcome outcome,
+      int status) {
+    ControlState state = context.state();
+    if (state.isConfigurationConfirmed() || state.isConfigurationOutdated()) {
+      return refuseIfConfirmed(request, clientHeaders, config, outcome, status);
+    }
+    CompletableFuture<HttpResponse> response = new CompletableFuture<>();
+    inFlight++;
+    Runnable respond =
+        () -> {
+          if (!response.isDone()) {
+            inFlight--;
+            response.complete(refuseIfConfirmed(request, clientHeaders, config, outcome, status));
+          }
+        };
+    context.configurationCheck().check().thenRun(respond);
+    context.loop().schedule(respond, MAX_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+    return HttpResponse.of(response);
+  }
+
+  /**
+   * Refuses a request for good if the configuration that does not permit it is still in force and
+   * known to be the newest; otherwise tells the client to come back or to try another instance.
+   */
+  private HttpResponse refuseIfConfirmed(
+      HttpRequest request,
+      ClientRequestHeaders clientHeaders,
+      SteeringConfig config,
+      RequestOutcome outcome,
+      int status) {
+    boolean inForce = context.state().config().filter(config::equals).isPresent();
+    if (inForce && context.state().isConfigurationConfirmed()) {
+      return refuse(request, clientHeaders, outcome, status, 0, configurationAge());
     }
-    return refuse(request, clientHeaders, outcome, status, 0, configurationAge());
+    return refuse(
+        request,
+        clientHeaders,
+        RequestOutcome.CONFIGURATION_OUTDATED,
+        503,
+        noConfigurationRetryMillis(clientHeaders),
+        "refused-as=%s %s".formatted(GatewayMetrics.labelOf(outcome), configurationAge()));
   }
 
   private String configurationAge() {
--- a/gateway/src/test/java/org/bambooarch/gateway/control/ListWatcherTest.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/control/ListWatcherTest.java
@@ -294,6 +294,64 @@
     assertThat(state.servers().find("b")).isEmpty();
   }
 
+  @Test
+  void should_apply_changes_that_a_check_shows_and_ignore_the_watch_in_progress() {
+    start();
+    CompletableFuture<ControlUpdate> silentWatch = store.pending;
+    store.pending = CompletableFuture.completedFuture(listOf(0, 8, server("a", true)));
+    CompletableFuture<Void> check = watcher.check();
+    store.pending = new CompletableFuture<>();
+    advance(500);
+    silentWatch.complete(listOf(0, 8, server("a", false)));
+    advance(500);
+
+    assertThat(check).isCompleted();
+    assertThat(store.calls).containsExactly("read", "watch 7", "watch 7", "watch 8");
+    assertThat(state.servers().find("a").orElseThrow().entry().draining()).isTrue();
+  }
+
+  @Test
+  void should_go_on_with_the_watch_in_progress_when_a_check_shows_no_change() {
+    start();
+    CompletableFuture<ControlUpdate> watch = store.pending;
+    store.pending = CompletableFuture.completedFuture(listOf(0, 7));
+    watcher.check();
+    advance(500);
+    watch.complete(listOf(0, 8, server("a", true)));
+    advance(100);
+
+    assertThat(store.calls).containsExactly("read", "watch 7", "watch 7");
+    assertThat(state.servers().find("a").orElseThrow().entry().draining()).isTrue();
+  }
+
+  @Test
+  void should_make_one_call_for_all_checks_at_the_same_time() {
+    start();
+    store.pending = new CompletableFuture<>();
+    CompletableFuture<Void> first = watcher.check();
+    CompletableFuture<Void> second = watcher.check();
+    store.pending.complete(listOf(0, 7));
+    advance(100);
+
+    assertThat(store.calls).containsExactly("read", "watch 7", "watch 7");
+    assertThat(first).isCompleted();
+    assertThat(second).isCompleted();
+  }
+
+  @Test
+  void should_retry_as_after_a_lost_watch_when_a_check_fails() {
+    start();
+    store.failure = ControlStoreException.unexpectedStatus("watch", 503);
+    CompletableFuture<Void> check = watcher.check();
+    advance(100);
+    assertThat(check).isCompleted();
+
+    store.failure = null;
+    store.pending = CompletableFuture.completedFuture(listOf(0, 8, server("a", true)));
+    advance(1_000);
+    assertThat(state.servers().find("a").orElseThrow().entry().draining()).isTrue();
+  }
+
   @Test
   void should_keep_data_centres_closed_for_five_seconds_when_the_copy_does_not_list_them() {
     state.replaceList(
