Let the watches that begin after a change end one after the other

An instance may wait longer the more others there are, since one of them ends in time and heartbeats tell the rest; but after a change all of them begin at the same time, and each then waited for at least half of the longest time. So with eleven instances nobody asked the store for 3.9 s plus 1 s, and with 54 for 10 s plus 1 s, while 3 s are allowed.

Change: a watch that follows a change, or a full list, waits by the rank of the instance's name among those whose heartbeats arrive, one step of half a lone instance's wait after the other; later watches wait at random as before.

The mean wait of such a watch with eleven instances falls from 5.8 s to 4.5 s (computed), so there are somewhat more calls after a change.

--- a/gateway/src/main/java/org/bambooarch/gateway/control/ListWatcher.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ListWatcher.java
@@ -1,10 +1,12 @@
 package org.bambooarch.gateway.control;
 
 import io.netty.channel.EventLoop;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
+import org.bambooarch.core.steering.fleet.Heartbeat;
 import org.bambooarch.gateway.spi.ControlStore;
 import org.bambooarch.gateway.spi.ControlStoreException;
 import org.bambooarch.gateway.spi.ControlUpdate;
@@ -66,6 +68,7 @@
   private boolean storeReachable = true;
   private boolean loaded;
   private boolean stopped;
+  private boolean beginsWithOthers;
   private long version;
   private long listEra;
   private long callNumber;
@@ -202,7 +205,27 @@
     if (!storeReachable) {
       return 0;
     }
-    int instances = state.fleet().liveHeartbeats(state.clock().monotonicNanos()).size() + 1;
+    List<Heartbeat> others = state.fleet().liveHeartbeats(state.clock().monotonicNanos());
+    return beginsWithOthers ? waitMillisByRank(others) : randomWaitMillis(others.size() + 1);
+  }
+
+  /**
+   * Returns the wait of a call that all instances begin at the same time, since they have read the
+   * same change: one call after the other ends, in the order of the instances' names.
+   */
+  private long waitMillisByRank(List<Heartbeat> others) {
+    String ownName = state.fleet().self().name();
+    long rank =
+        others.stream().filter(other -> other.sender().name().compareTo(ownName) < 0).count();
+    long stepMillis = aloneMillis / FLEET_OVERLAP;
+    long firstMillis = stepMillis * (1 + rank);
+    if (firstMillis + stepMillis > MAX_LONG_POLL_MILLIS) {
+      return randomWaitMillis(others.size() + 1);
+    }
+    return firstMillis + random.nextLong(stepMillis + 1);
+  }
+
+  private long randomWaitMillis(int instances) {
     long fleetMillis = Math.min(MAX_LONG_POLL_MILLIS, instances * aloneMillis / FLEET_OVERLAP);
     return Math.max(aloneMillis, fleetMillis / 2 + random.nextLong(fleetMillis / 2 + 1));
   }
@@ -225,6 +248,7 @@
     state.replaceList(topic, update);
     state.onListRead(topic, update, askedNanos);
     loaded = true;
+    beginsWithOthers = true;
     version = update.version();
     requestNextUpdate();
   }
@@ -249,7 +273,8 @@
     }
     version = Math.max(version, update.version());
     state.onListRead(topic, update, askedNanos);
-    if (update.changes().isEmpty()) {
+    beginsWithOthers = !update.changes().isEmpty();
+    if (!beginsWithOthers) {
       requestNextUpdate();
       return;
     }
