Send nothing on that a stopping instance cannot see to its end

New requests were accepted for 2.8 s whatever the grace, so with a grace of 3 s or less all of them were passed on until the process ended. With any grace the check was made when the head of a request was read and never again: an order was passed on whose body was complete only late, that was tried again late, or whose servers take longer than was left. The time was kept by a timer and a flag in two places.

A stop now has a schedule (StopSchedule) of two times: until when requests are accepted, and when the process ends. Requests are accepted for 2.8 s, as before, but for half of the time at most. That serves callers that still come by a cached look-up; the others get 503, Connection: close and a short Retry-After at once, with most of their time left for another instance. Whenever a request is about to be sent to a server, for a client or for another instance, it is refused as not run if it is late, or if the average time of its route does not fit into what is left: once for a route that may be repeated, twice for one that may not, because a caller can repeat a refusal but not an order that was cut. A request whose deadline comes before the end is always sent, as it gets an answer by then. A read that may have run already cannot be refused as not run; it is tried again as long as the average time fits.

--- a/core/src/main/java/org/bambooarch/core/steering/place/ServerChooser.java
+++ b/core/src/main/java/org/bambooarch/core/steering/place/ServerChooser.java
@@ -321,6 +321,11 @@
     }
   }
 
+  /** Returns the average time that warm servers need for a request of the query's route, in ns. */
+  public double warmNanos(PlacementQuery query) {
+    return processingTimes.warmNanos(query);
+  }
+
   /** Returns the average time that servers need for objects for which they are warm, in ns. */
   public double warmNanos(String service) {
     return processingTimes.warmNanos(service);
--- a/gateway/src/main/java/org/bambooarch/gateway/Gateway.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/Gateway.java
@@ -19,6 +19,7 @@
 import org.bambooarch.gateway.control.ControlState;
 import org.bambooarch.gateway.control.PeerSocket;
 import org.bambooarch.gateway.control.RelaySelector;
+import org.bambooarch.gateway.control.StopSchedule;
 import org.bambooarch.gateway.control.StoreSynchronizer;
 import org.bambooarch.gateway.endpoint.DirectoryFormat;
 import org.bambooarch.gateway.endpoint.DirectoryService;
@@ -53,15 +54,6 @@
  */
 public final class Gateway implements AutoCloseable {
 
-  /**
-   * Time after the stop signal during which new requests are still accepted: clients may use a
-   * cached directory response that names this instance until its time to live ends.
-   */
-  private static final long ACCEPT_AFTER_STOP_MILLIS = 2_800;
-
-  /** Time before the end of the stop grace period at which the process ends by itself. */
-  private static final long STOP_MARGIN_MILLIS = 250;
-
   private static final long STOP_POLL_MILLIS = 50;
 
   /** Largest size of a request line, and of all headers together. */
@@ -274,7 +266,8 @@
    *
    * <p>The instance reports at once that it is not ready, and directory lookups no longer name it.
    * It accepts requests until cached directory responses have expired, refuses new ones from then
-   * on, and may end when the last response is written. Requests still in flight shortly before the
+   * on, and may end when the last response is written. A request that servers are unlikely to
+   * finish in time is refused before it is sent to one. Requests still in flight shortly before the
    * end of the grace period are aborted.
    *
    * @return a future that completes when the process may end; the same for every call
@@ -294,17 +287,14 @@
       return;
     }
     Logger.info("event=stopping in-flight={}", inFlight());
-    state.beginShutdown();
+    StopSchedule schedule = StopSchedule.from(clock.monotonicNanos(), settings.graceMillis());
+    state.beginShutdown(schedule);
     peerSocket.sendHeartbeats();
     storeSynchronizer.stop();
-    long stopStartNanos = clock.monotonicNanos();
-    loop.schedule(this::refuseNewRequests, ACCEPT_AFTER_STOP_MILLIS, TimeUnit.MILLISECONDS);
-    long maxStopMillis = settings.graceMillis() - STOP_MARGIN_MILLIS;
     loop.scheduleWithFixedDelay(
         () -> {
-          long elapsedMillis = (clock.monotonicNanos() - stopStartNanos) / 1_000_000L;
-          boolean idle = elapsedMillis > ACCEPT_AFTER_STOP_MILLIS && inFlight() == 0;
-          if (idle || elapsedMillis > maxStopMillis) {
+          boolean idle = !state.acceptsRequests() && inFlight() == 0;
+          if (idle || schedule.hasEnded(clock.monotonicNanos())) {
             Logger.info("event=stopped cut={}", inFlight());
             stopped.complete(null);
           }
@@ -314,11 +304,6 @@
         TimeUnit.MILLISECONDS);
   }
 
-  private void refuseNewRequests() {
-    proxyService.refuseNewRequests();
-    relayService.refuseNewRequests();
-  }
-
   private int inFlight() {
     return proxyService.inFlight() + relayService.inFlight();
   }
--- a/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
@@ -85,6 +85,7 @@
   private boolean keepsClosed;
   private long keepClosedUntilNanos;
   private volatile boolean shuttingDown;
+  private Optional<StopSchedule> stopSchedule = Optional.empty();
   private long lastTickNanos;
 
   /** Creates the state of an instance without a configuration, servers or other instances. */
@@ -394,10 +395,21 @@
   }
 
   /** Marks the instance as shutting down, so that it is no longer ready. */
-  public void beginShutdown() {
+  public void beginShutdown(StopSchedule schedule) {
+    stopSchedule = Optional.of(schedule);
     shuttingDown = true;
   }
 
+  /** Returns what the instance may still start; empty if it is not shutting down. */
+  public Optional<StopSchedule> stopSchedule() {
+    return stopSchedule;
+  }
+
+  /** Returns whether new requests are accepted, which ends some time after the shutdown began. */
+  public boolean acceptsRequests() {
+    return stopSchedule.map(schedule -> schedule.accepts(clock.monotonicNanos())).orElse(true);
+  }
+
   /** Returns whether the instance is shutting down. May be called on any thread. */
   public boolean isShuttingDown() {
     return shuttingDown;
--- a/gateway/src/main/java/org/bambooarch/gateway/relay/RelayExchange.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/relay/RelayExchange.java
@@ -9,7 +9,6 @@
 import java.util.Optional;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import org.bambooarch.core.steering.place.ServerEntry;
 import org.bambooarch.core.steering.place.ServerState;
 import org.bambooarch.gateway.control.ControlState;
@@ -48,7 +47,6 @@
   private final ClientRequestHeaders relayedHeaders;
   private final String serverId;
   private final HttpResponseWriter writer;
-  private final BooleanSupplier refused;
   private final ClientRequestBody body;
   private final long deadlineNanos;
   private final ScheduledFuture<?> timeout;
@@ -58,23 +56,14 @@
   private BufferedResponseRelay relay;
   private boolean finished;
 
-  /**
-   * Creates an exchange that has not sent anything.
-   *
-   * @param refused tells, when the request is about to be sent, that it must not be
-   */
-  RelayExchange(
-      GatewayContext context,
-      RequestHeaders headers,
-      HttpResponseWriter writer,
-      BooleanSupplier refused) {
+  /** Creates an exchange that has not sent anything. */
+  RelayExchange(GatewayContext context, RequestHeaders headers, HttpResponseWriter writer) {
     this.context = context;
     this.state = context.state();
     this.headers = headers;
     this.relayedHeaders = context.requestFormat().readClientRequest(headers);
     this.serverId = headers.get(RelayHeaders.SERVER, "");
     this.writer = writer;
-    this.refused = refused;
     // The other instance has checked the length.
     this.body = new ClientRequestBody(this, Long.MAX_VALUE);
     // The request may have been unread for as long as the event loop is behind.
@@ -115,7 +104,7 @@
       respond(RelayHeaders.Outcome.NOT_SENT, "no-such-server");
     } else if (state.isPartitionedFromServers()) {
       respond(RelayHeaders.Outcome.NOT_SENT, "partitioned");
-    } else if (refused.getAsBoolean()) {
+    } else if (!maySendBeforeStop(server.get())) {
       respond(RelayHeaders.Outcome.NOT_SENT, "stopping");
     } else if (timeoutMillis <= 0) {
       respond(RelayHeaders.Outcome.NOT_SENT, "too-late");
@@ -128,6 +117,16 @@
     }
   }
 
+  private boolean maySendBeforeStop(ServerState chosen) {
+    double averageNanos = state.chooser().warmNanos(chosen.entry().service());
+    long nowNanos = state.clock().monotonicNanos();
+    // Whether the request is idempotent is not known here.
+    return state
+        .stopSchedule()
+        .map(schedule -> schedule.maySend(deadlineNanos, averageNanos, false, nowNanos))
+        .orElse(true);
+  }
+
   private void sendTo(ServerState chosen, long timeoutMillis) {
     server = chosen;
     sentTo = chosen.entry();
--- a/gateway/src/main/java/org/bambooarch/gateway/relay/RelayService.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/relay/RelayService.java
@@ -8,7 +8,6 @@
 import com.linecorp.armeria.server.ServiceRequestContext;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
-import java.util.function.BooleanSupplier;
 import org.bambooarch.gateway.request.GatewayContext;
 
 /**
@@ -21,9 +20,8 @@
 
   private final GatewayContext context;
   private int inFlight;
-  private boolean refusingNewRequests;
 
-  /** Creates the service; it accepts requests until {@link #refuseNewRequests()}. */
+  /** Creates the service. */
   public RelayService(GatewayContext context) {
     this.context = context;
   }
@@ -33,20 +31,11 @@
     return inFlight;
   }
 
-  /**
-   * Responds to all requests from now on that they were not sent, since the instance is about to
-   * stop. Called on the event loop only.
-   */
-  public void refuseNewRequests() {
-    refusingNewRequests = true;
-  }
-
   @Override
   public HttpResponse serve(ServiceRequestContext armeriaContext, HttpRequest request) {
     HttpResponseWriter writer = HttpResponse.streaming();
-    BooleanSupplier refused = () -> refusingNewRequests;
     context.metrics().onRelayedRequest();
-    RelayExchange exchange = new RelayExchange(context, request.headers(), writer, refused);
+    RelayExchange exchange = new RelayExchange(context, request.headers(), writer);
     inFlight++;
     Channel channel = armeriaContext.log().ensureAvailable(RequestLogProperty.SESSION).channel();
     // Armeria reports that the other instance has disconnected a second later than the connection.
--- a/gateway/src/main/java/org/bambooarch/gateway/request/ProxyExchange.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/ProxyExchange.java
@@ -183,6 +183,10 @@
       return;
     }
     PlacementQuery query = placementQuery();
+    if (!retryDecider.mayHaveRun() && !maySendBeforeStop(query)) {
+      refuse(RequestOutcome.STOPPING, 503, ProxyService.STOPPING_RETRY_MILLIS);
+      return;
+    }
     Placement placement =
         state.chooser().choose(query, servicePolicy(), state.clock().monotonicNanos());
     switch (placement) {
@@ -194,6 +198,18 @@
     }
   }
 
+  private boolean maySendBeforeStop(PlacementQuery query) {
+    if (state.stopSchedule().isEmpty()) {
+      return true;
+    }
+    double averageNanos = state.chooser().warmNanos(query);
+    long nowNanos = state.clock().monotonicNanos();
+    return state
+        .stopSchedule()
+        .get()
+        .maySend(deadlineNanos, averageNanos, route.idempotent(), nowNanos);
+  }
+
   /** Returns the instance for the next attempt; each attempt may go through another one. */
   private Optional<InstanceIdentity> chooseRelay() {
     long hash =
@@ -332,7 +348,9 @@
    */
   void onAttemptFailed(AttemptResult result, String cause) {
     double serviceNanos = state.chooser().warmNanos(service);
-    boolean enoughTime = remainingNanos() > serviceNanos * MIN_REMAINING_TIME_FRACTION;
+    boolean enoughTime =
+        remainingNanos() > serviceNanos * MIN_REMAINING_TIME_FRACTION
+            && stopLeavesTimeFor(serviceNanos);
     RetryDecider.Step step = retryDecider.onAttemptEnded(result, enoughTime, !bodyUsedUp);
     log.onAttemptFailed(attempt.server(), result, cause, step);
     switch (step) {
@@ -344,6 +362,16 @@
     }
   }
 
+  private boolean stopLeavesTimeFor(double averageNanos) {
+    long nowNanos = state.clock().monotonicNanos();
+    return state
+        .stopSchedule()
+        .map(
+            schedule ->
+                schedule.leavesTimeFor(deadlineNanos, averageNanos, route.idempotent(), nowNanos))
+        .orElse(true);
+  }
+
   private void retryOnAnotherServer() {
     attempt = null;
     if (state.crashes().maySend(requestHash, state.clock().monotonicNanos())) {
--- a/gateway/src/main/java/org/bambooarch/gateway/request/ProxyService.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/ProxyService.java
@@ -54,13 +54,12 @@
   private static final long OVERLOADED_RETRY_MILLIS = 300;
 
   /** Retry hint of an instance that is stopping; clients then use another instance. */
-  private static final long STOPPING_RETRY_MILLIS = 100;
+  static final long STOPPING_RETRY_MILLIS = 100;
 
   private final GatewayContext context;
   private int inFlight;
-  private boolean refusingNewRequests;
 
-  /** Creates the service; it accepts requests until {@link #refuseNewRequests()}. */
+  /** Creates the service; it refuses all requests while the state accepts none. */
   public ProxyService(GatewayContext context) {
     this.context = context;
   }
@@ -70,20 +69,12 @@
     return inFlight;
   }
 
-  /**
-   * Refuses all requests from now on, since the instance is about to stop. Called on the event loop
-   * only.
-   */
-  public void refuseNewRequests() {
-    refusingNewRequests = true;
-  }
-
   @Override
   public HttpResponse serve(ServiceRequestContext armeriaContext, HttpRequest request) {
     ClientRequestHeaders clientHeaders =
         context.requestFormat().readClientRequest(request.headers());
     ControlState state = context.state();
-    if (refusingNewRequests) {
+    if (!state.acceptsRequests()) {
       return refuse(request, clientHeaders, RequestOutcome.STOPPING, 503, STOPPING_RETRY_MILLIS);
     }
     Optional<SteeringConfig> config = state.config();
@@ -282,7 +273,7 @@
     }
     ResponseHeaders refusal =
         context.requestFormat().refusalHeaders(status, retryAfterMillis, clientHeaders.requestId());
-    if (refusingNewRequests) {
+    if (!context.state().acceptsRequests()) {
       // No request behind this one on its connection runs either.
       refusal = refusal.toBuilder().set(HttpHeaderNames.CONNECTION, "close").build();
     }
