Refuse as not run while the newest configuration cannot be read

Callers with keys of a configuration that an instance could not read got a 401 (404 and 413 likewise), which they take as final and do not try another instance.

An unreadable row left the older configuration in force, as it should, but the instance took that one for the newest. The same held for a removed row, which was ignored: nothing in the store then says that a key is unknown.

An unreadable entry now tells whether it is the configuration, and a removed configuration is a change of its own. From either on, and after a full list without a configuration, the configuration counts as outdated until one that can be read arrives. The older one still serves what it permits. An instance that reads the row tells its version in heartbeats, as before.

--- a/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
@@ -82,6 +82,7 @@
   private long newestKnownVersion;
   private long configurationAsOfNanos;
   private boolean operatorListReachable = true;
+  private boolean newestConfigurationUnknown;
   private boolean keepsClosed;
   private long keepClosedUntilNanos;
   private volatile boolean shuttingDown;
@@ -134,6 +135,8 @@
 
   private void replaceOperatorEntries(List<ControlChange> changes) {
     listedClosed.clear();
+    // The configuration is known again once the list turns out to contain it.
+    newestConfigurationUnknown = config != null;
     changes.forEach(this::apply);
     reopenUnlisted();
   }
@@ -182,8 +185,11 @@
   }
 
   private static void logUnreadable(ControlChange change) {
-    if (change instanceof ControlChange.UnreadableEntry(String place, String message)) {
-      Logger.warn("event=unreadable place={} reason=\"entry cannot be read: {}\"", place, message);
+    if (change instanceof ControlChange.UnreadableEntry unreadable) {
+      Logger.warn(
+          "event=unreadable place={} reason=\"entry cannot be read: {}\"",
+          unreadable.place(),
+          unreadable.message());
     }
   }
 
@@ -211,7 +217,12 @@
         servers.remove(id, nowNanos);
       }
       case ControlChange.InstanceListed listed -> fleet.onListed(listed.instance(), nowNanos);
-      case ControlChange.UnreadableEntry unreadable -> {}
+      case ControlChange.ConfigurationRemoved removed -> onNewestConfigurationUnknown("removed");
+      case ControlChange.UnreadableEntry unreadable -> {
+        if (unreadable.isConfiguration()) {
+          onNewestConfigurationUnknown("unreadable");
+        }
+      }
     }
   }
 
@@ -273,10 +284,11 @@
 
   /**
    * Returns whether operators may have written a newer configuration than the one in force here:
-   * the store cannot be watched, or another instance has applied a newer one.
+   * the store cannot be watched, what it holds is no configuration that can be read, or another
+   * instance has applied a newer one.
    */
   public boolean isConfigurationOutdated() {
-    return !operatorListReachable || hasMissedConfiguration();
+    return !operatorListReachable || newestConfigurationUnknown || hasMissedConfiguration();
   }
 
   /**
@@ -287,7 +299,16 @@
     return newestKnownVersion > (config == null ? 0 : config.version());
   }
 
+  private void onNewestConfigurationUnknown(String reason) {
+    newestConfigurationUnknown = true;
+    Logger.warn(
+        "event=configuration-unknown in-force={} reason=\"newest configuration is {}\"",
+        config == null ? 0 : config.version(),
+        reason);
+  }
+
   private void applyConfiguration(SteeringConfig newConfig) {
+    newestConfigurationUnknown = false;
     if (config != null && newConfig.version() <= config.version()) {
       return;
     }
--- a/gateway/src/main/java/org/bambooarch/gateway/spi/ControlChange.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/spi/ControlChange.java
@@ -10,6 +10,9 @@
   /** A configuration has been published; it takes effect if its version is the newest. */
   record ConfigurationChanged(SteeringConfig config) implements ControlChange {}
 
+  /** The configuration has been removed; what operators want in its place is not known yet. */
+  record ConfigurationRemoved() implements ControlChange {}
+
   /** Operators have closed a data centre: its servers must get no further requests. */
   record DataCentreClosed(String dataCentre) implements ControlChange {}
 
@@ -31,6 +34,9 @@
    *
    * @param place table and key of the entry
    * @param message what was expected and what was found
+   * @param isConfiguration whether the entry is the configuration, so that the newest one is not
+   *     known
    */
-  record UnreadableEntry(String place, String message) implements ControlChange {}
+  record UnreadableEntry(String place, String message, boolean isConfiguration)
+      implements ControlChange {}
 }
--- a/gateway/src/test/java/org/bambooarch/gateway/control/ControlStateTest.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/control/ControlStateTest.java
@@ -91,6 +91,49 @@
     assertThat(state.isConfigurationOutdated()).isFalse();
   }
 
+  private static ControlUpdate operatorChange(long version, ControlChange change) {
+    return new ControlUpdate(0, version, List.of(change));
+  }
+
+  // Regression: keys of a configuration that this instance cannot read were refused for good.
+  @Test
+  void should_tell_that_its_configuration_is_outdated_while_the_newest_one_cannot_be_read() {
+    state.replaceList(Topic.OPERATOR, configuration(7));
+
+    state.applyChanges(operatorChange(8, new ControlChange.UnreadableEntry("config", "odd", true)));
+    assertThat(state.isConfigurationOutdated()).isTrue();
+    assertThat(state.config().orElseThrow().version()).isEqualTo(7);
+
+    state.onHeartbeat(heartbeat(8));
+    state.applyChanges(configuration(9));
+    assertThat(state.isConfigurationOutdated()).isFalse();
+  }
+
+  @Test
+  void should_keep_its_configuration_up_to_date_when_another_entry_cannot_be_read() {
+    state.replaceList(Topic.OPERATOR, configuration(7));
+
+    state.applyChanges(operatorChange(8, new ControlChange.UnreadableEntry("other", "odd", false)));
+
+    assertThat(state.isConfigurationOutdated()).isFalse();
+  }
+
+  // The same class of fault: what follows a removed configuration is not known yet.
+  @Test
+  void should_tell_that_its_configuration_is_outdated_while_the_store_has_none() {
+    state.replaceList(Topic.OPERATOR, configuration(7));
+
+    state.applyChanges(operatorChange(8, new ControlChange.ConfigurationRemoved()));
+    assertThat(state.isConfigurationOutdated()).isTrue();
+    assertThat(state.config().orElseThrow().version()).isEqualTo(7);
+
+    state.replaceList(Topic.OPERATOR, configuration(9));
+    assertThat(state.isConfigurationOutdated()).isFalse();
+
+    state.replaceList(Topic.OPERATOR, new ControlUpdate(0, 10, List.of()));
+    assertThat(state.isConfigurationOutdated()).isTrue();
+  }
+
   @Test
   void should_count_the_age_of_the_configuration_from_the_last_call_with_a_response() {
     clock.advanceMillis(500);
