Forward bytes of a target beyond ASCII as the client sent them

Servers got two bytes for each byte of 0x80 and above in a target, and four for a request that went through another instance: another path than the client's, which a server answers with 404. In absolute form, a target with the byte 0x85 was refused with 400.

Netty's decoder makes a character of each byte, and its encoder writes targets in UTF-8. For absolute forms, "." in the pattern matches no line terminator, of which U+0085 is one.

A handler between encoder and connection writes such a request line with one byte a character.

--- a/gateway/src/main/java/org/bambooarch/gateway/endpoint/RawRequestUri.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/endpoint/RawRequestUri.java
@@ -35,7 +35,7 @@
   private static final Pattern ABSOLUTE_URI =
       Pattern.compile(
           "https?://((?:[\\w.~%-]+|\\[[0-9a-f:.]+])(?::\\d*)?)([/?#].*)?",
-          Pattern.CASE_INSENSITIVE);
+          Pattern.CASE_INSENSITIVE | Pattern.DOTALL);
 
   /**
    * Number of first bytes by which Armeria detects HTTP/1 or HTTP/2 and then builds the pipeline.
--- a/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnection.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnection.java
@@ -50,6 +50,7 @@
   private final RequestFormat format;
   private final Clock clock;
   private final DecodingThrottle throttle = new DecodingThrottle();
+  private final RequestTargetEncoder targetEncoder = new RequestTargetEncoder();
   private Channel channel;
   private ReadState readState = ReadState.IDLE;
   private TargetResponseListener listener;
@@ -75,6 +76,11 @@
     channel = context.channel();
   }
 
+  /** Returns the handler that must be between this one's encoder and the connection. */
+  RequestTargetEncoder targetEncoder() {
+    return targetEncoder;
+  }
+
   /** Sets how long the connection may be idle until the server states its own limit. */
   void keepAliveNanos(long nanos) {
     keepAliveNanos = nanos;
@@ -115,6 +121,7 @@
     readState = ReadState.HEAD;
     bytesBeforeResponse = 0;
     listener.onSending();
+    targetEncoder.beforeHead(request.path());
     channel.writeAndFlush(request.toHttp(), channel.voidPromise());
   }
 
--- a/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnectionPool.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnectionPool.java
@@ -194,6 +194,7 @@
                 channel
                     .pipeline()
                     .addLast(new ReceivedBytesFilter(newConnection))
+                    .addLast(newConnection.targetEncoder())
                     .addLast(
                         new HttpClientCodec(
                             MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
