Write nothing to a server before what has arrived is processed

Cause: a task that an event schedules runs in the turn of the event loop in which the event was read, so a client's close that arrived after the loop had asked for events was not seen. A retry was sent without any check, and a request for which a connection was opened was sent whatever time was left.

Change: SendGate decides for ProxyExchange and RelayExchange alike, before each write over a kept connection or a new one, to a server or a relay instance, first or again. Enough is half of what a server needs or of what the client waits, whichever is less; so far this held for retries, there without the client's share. An unused new connection is kept as an idle one. The handle of an attempt that has failed is dropped, since the client may now leave between two attempts, when the connection may be in use by another request.

--- a/gateway/src/main/java/org/bambooarch/gateway/relay/RelayExchange.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/relay/RelayExchange.java
@@ -18,6 +18,8 @@
 import org.bambooarch.gateway.spi.ClientRequestHeaders;
 import org.bambooarch.gateway.spi.RelayHeaders;
 import org.bambooarch.gateway.spi.ServerResponseHeaders;
+import org.bambooarch.gateway.target.RequestTime;
+import org.bambooarch.gateway.target.SendGate;
 import org.bambooarch.gateway.target.TargetRequest;
 import org.bambooarch.gateway.target.TargetRequestHandle;
 import org.bambooarch.gateway.target.TargetResponseListener;
@@ -28,7 +30,8 @@
  *
  * <p>Used on the event loop only.
  */
-final class RelayExchange implements ClientRequestBody.Listener, TargetResponseListener {
+final class RelayExchange
+    implements ClientRequestBody.Listener, TargetResponseListener, SendGate.Owner {
 
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
@@ -48,7 +51,8 @@
   private final String serverId;
   private final HttpResponseWriter writer;
   private final ClientRequestBody body;
-  private final long deadlineNanos;
+  private final RequestTime time;
+  private final SendGate gate;
   private final ScheduledFuture<?> timeout;
   private ServerState server;
   private ServerEntry sentTo;
@@ -67,10 +71,9 @@
     // The other instance has checked the length.
     this.body = new ClientRequestBody(this, Long.MAX_VALUE);
     // The request may have been unread for as long as the event loop is behind.
-    this.deadlineNanos =
-        state.clock().monotonicNanos()
-            - state.eventLoopLagNanos()
-            + relayedHeaders.timeoutMillis().orElse(0) * NANOS_PER_MILLI;
+    long arrivedNanos = state.clock().monotonicNanos() - state.eventLoopLagNanos();
+    this.time = RequestTime.of(arrivedNanos, relayedHeaders.timeoutMillis().orElse(0));
+    this.gate = new SendGate(context.loop(), state.clock(), time, this);
     this.timeout =
         context
             .loop()
@@ -84,36 +87,52 @@
   }
 
   private long remainingNanos() {
-    return deadlineNanos - state.clock().monotonicNanos();
+    return time.remainingNanos(state.clock());
   }
 
   @Override
   public void onBodyReady() {
-    // If the other instance has closed the connection meanwhile, the event loop processes that
-    // before it runs this task.
-    context.loop().schedule(this::send, 0, TimeUnit.NANOSECONDS);
+    gate.pass(this::send, () -> {});
+  }
+
+  @Override
+  public boolean isFinished() {
+    return finished;
+  }
+
+  @Override
+  public double serviceNanos() {
+    return state
+        .servers()
+        .findAvailable(serverId)
+        .map(known -> state.chooser().warmNanos(known.entry().service()))
+        .orElse(0.0);
+  }
+
+  @Override
+  public boolean mayRun() {
+    return state.servers().findAvailable(serverId).map(this::maySendBeforeStop).orElse(true);
+  }
+
+  @Override
+  public void onRefused(SendGate.Refusal refusal) {
+    respond(
+        RelayHeaders.Outcome.NOT_SENT,
+        refusal == SendGate.Refusal.FORBIDDEN ? "stopping" : "too-late");
   }
 
   private void send() {
-    if (finished) {
-      return;
-    }
     Optional<ServerState> server = state.servers().findAvailable(serverId);
-    long timeoutMillis = remainingNanos() / NANOS_PER_MILLI;
     if (server.isEmpty()) {
       respond(RelayHeaders.Outcome.NOT_SENT, "no-such-server");
     } else if (state.isPartitionedFromServers()) {
       respond(RelayHeaders.Outcome.NOT_SENT, "partitioned");
-    } else if (!maySendBeforeStop(server.get())) {
-      respond(RelayHeaders.Outcome.NOT_SENT, "stopping");
-    } else if (timeoutMillis <= 0) {
-      respond(RelayHeaders.Outcome.NOT_SENT, "too-late");
     } else if (server.get().isResting(state.clock().monotonicNanos())) {
       respond(RelayHeaders.Outcome.NOT_SENT, "resting");
     } else if (!state.limitShares().tryTake(server.get(), state.clock().monotonicNanos())) {
       respond(RelayHeaders.Outcome.NOT_SENT, "limited");
     } else {
-      sendTo(server.get(), timeoutMillis);
+      sendTo(server.get(), Math.max(1, remainingNanos() / NANOS_PER_MILLI));
     }
   }
 
@@ -123,7 +142,7 @@
     // Whether the request is idempotent is not known here.
     return state
         .stopSchedule()
-        .map(schedule -> schedule.maySend(deadlineNanos, averageNanos, false, nowNanos))
+        .map(schedule -> schedule.maySend(time.deadlineNanos(), averageNanos, false, nowNanos))
         .orElse(true);
   }
 
@@ -141,7 +160,7 @@
             false,
             body.bufferedBody(),
             headers.contentLength());
-    requestHandle = context.targetClient().send(server, request, this);
+    requestHandle = context.targetClient().send(server, request, gate, this);
   }
 
   @Override
--- a/gateway/src/main/java/org/bambooarch/gateway/request/ProxyExchange.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/ProxyExchange.java
@@ -30,6 +30,8 @@
 import org.bambooarch.gateway.spi.ClientRequestHeaders;
 import org.bambooarch.gateway.spi.RelayHeaders;
 import org.bambooarch.gateway.spi.ServerRequestHeaders;
+import org.bambooarch.gateway.target.RequestTime;
+import org.bambooarch.gateway.target.SendGate;
 import org.bambooarch.gateway.target.TargetRequest;
 import org.bambooarch.gateway.target.TargetRequestHandle;
 
@@ -40,16 +42,10 @@
  * <p>{@link RetryDecider} decides what follows each attempt, and this class carries it out. Used on
  * the event loop only.
  */
-final class ProxyExchange implements ClientRequestBody.Listener {
+final class ProxyExchange implements ClientRequestBody.Listener, SendGate.Owner {
 
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
-  /**
-   * Another attempt is made only if the time until the deadline exceeds this fraction of the
-   * average time that a warm server of the service needs for a request.
-   */
-  private static final double MIN_REMAINING_TIME_FRACTION = 0.5;
-
   /** Retry hint for clients if no better estimate is known. */
   private static final long DEFAULT_RETRY_AFTER_MILLIS = 500;
 
@@ -67,8 +63,8 @@
   private final HomeRegions homeRegions;
   private final ClientRequestBody body;
   private final RequestLogger log;
-  private final long arrivedNanos;
-  private final long deadlineNanos;
+  private final RequestTime time;
+  private final SendGate gate;
   private final ScheduledFuture<?> timeout;
   private long requestHash;
   private TargetRequestHandle requestHandle;
@@ -102,8 +98,9 @@
     this.body = new ClientRequestBody(this, admittedBy.callerLimits().maxBodyBytes());
     this.log = new RequestLogger(context, clientHeaders, route, service, customer);
     // The request may have been unread for as long as the event loop is behind.
-    this.arrivedNanos = state.clock().monotonicNanos() - state.eventLoopLagNanos();
-    this.deadlineNanos = arrivedNanos + clientHeaders.timeoutMillisOn(route) * NANOS_PER_MILLI;
+    long arrivedNanos = state.clock().monotonicNanos() - state.eventLoopLagNanos();
+    this.time = RequestTime.of(arrivedNanos, clientHeaders.timeoutMillisOn(route));
+    this.gate = new SendGate(context.loop(), state.clock(), time, this);
     this.timeout =
         context.loop().schedule(this::onDeadline, remainingNanos(), TimeUnit.NANOSECONDS);
   }
@@ -120,21 +117,61 @@
     }
     bodyStreamed = body.bufferedBody().isEmpty();
     requestHash = requestFingerprint();
-    if (!state.crashes().maySend(requestHash, state.clock().monotonicNanos())) {
-      refuse(RequestOutcome.CRASHES_SERVERS, 503, 0);
+    gate.pass(this::chooseServerAndSend, () -> {});
+  }
+
+  @Override
+  public double serviceNanos() {
+    return state.chooser().warmNanos(service);
+  }
+
+  @Override
+  public boolean mayRun() {
+    return mayRunOnServers() && maySendBeforeStop();
+  }
+
+  private boolean mayRunOnServers() {
+    return state.crashes().maySend(requestHash, state.clock().monotonicNanos());
+  }
+
+  private boolean maySendBeforeStop() {
+    if (state.stopSchedule().isEmpty() || retryDecider.mayHaveRun()) {
+      return true;
+    }
+    double averageNanos = state.chooser().warmNanos(placementQuery());
+    long nowNanos = state.clock().monotonicNanos();
+    return state
+        .stopSchedule()
+        .get()
+        .maySend(time.deadlineNanos(), averageNanos, route.idempotent(), nowNanos);
+  }
+
+  @Override
+  public void onRefused(SendGate.Refusal refusal) {
+    if (finished) {
       return;
     }
-    // If the client has left or the deadline has passed meanwhile, the event loop processes that
-    // before it runs this task.
-    context.loop().schedule(this::sendFirst, 0, TimeUnit.NANOSECONDS);
+    cancelServerRequest();
+    switch (refusal) {
+      case FORBIDDEN -> refuseForbidden();
+      case TOO_LATE -> refuseLate();
+      // ENDED
+      default -> {}
+    }
   }
 
-  private void sendFirst() {
-    if (!finished) {
-      chooseServerAndSend();
+  private void refuseForbidden() {
+    if (mayRunOnServers()) {
+      refuse(RequestOutcome.STOPPING, 503, ProxyService.STOPPING_RETRY_MILLIS);
+    } else {
+      refuse(RequestOutcome.CRASHES_SERVERS, retryDecider.mayHaveRun() ? 502 : 503, 0);
     }
   }
 
+  private void refuseLate() {
+    refuse(RequestOutcome.TIMED_OUT, retryDecider.mayHaveRun() ? 504 : 503, 0);
+  }
+
   /**
    * Returns a hash by which the crash history recognizes the same request when it is sent again.
    */
@@ -183,10 +220,6 @@
       return;
     }
     PlacementQuery query = placementQuery();
-    if (!retryDecider.mayHaveRun() && !maySendBeforeStop(query)) {
-      refuse(RequestOutcome.STOPPING, 503, ProxyService.STOPPING_RETRY_MILLIS);
-      return;
-    }
     Placement placement =
         state.chooser().choose(query, servicePolicy(), state.clock().monotonicNanos());
     switch (placement) {
@@ -198,18 +231,6 @@
     }
   }
 
-  private boolean maySendBeforeStop(PlacementQuery query) {
-    if (state.stopSchedule().isEmpty()) {
-      return true;
-    }
-    double averageNanos = state.chooser().warmNanos(query);
-    long nowNanos = state.clock().monotonicNanos();
-    return state
-        .stopSchedule()
-        .get()
-        .maySend(deadlineNanos, averageNanos, route.idempotent(), nowNanos);
-  }
-
   /** Returns the instance for the next attempt; each attempt may go through another one. */
   private Optional<InstanceIdentity> chooseRelay() {
     long hash =
@@ -271,21 +292,34 @@
             route.idempotent(),
             body.bufferedBody(),
             headers.contentLength());
-    attempt = new ServerAttempt(this, context, writer, query, chosen, loadBefore);
+    final ServerAttempt newAttempt =
+        new ServerAttempt(this, context, writer, query, chosen, loadBefore);
+    attempt = newAttempt;
+    TargetRequestHandle newHandle = sendAttempt(newAttempt, request, relay);
+    // The attempt may have failed already.
+    if (attempt == newAttempt) {
+      requestHandle = newHandle;
+    }
+  }
+
+  private TargetRequestHandle sendAttempt(
+      ServerAttempt newAttempt, TargetRequest request, Optional<InstanceIdentity> relay) {
     if (relay.isEmpty()) {
-      requestHandle = context.targetClient().send(chosen, request, attempt);
-      return;
+      return context.targetClient().send(newAttempt.server(), request, gate, newAttempt);
     }
-    headersToServer.set(RelayHeaders.SERVER, chosen.entry().id());
-    requestHandle =
-        context
-            .targetClient()
-            .sendOverRelay(
-                PeerSocket.addressOf(relay.get()), request, new RelayedResponseListener(attempt));
+    request.headers().set(RelayHeaders.SERVER, newAttempt.server().entry().id());
+    return context
+        .targetClient()
+        .sendOverRelay(
+            PeerSocket.addressOf(relay.get()),
+            request,
+            gate,
+            new RelayedResponseListener(newAttempt));
   }
 
   /** Returns whether the request has ended; events that arrive later must be ignored. */
-  boolean isFinished() {
+  @Override
+  public boolean isFinished() {
     return finished;
   }
 
@@ -347,10 +381,8 @@
    * @param cause short reason for the log
    */
   void onAttemptFailed(AttemptResult result, String cause) {
-    double serviceNanos = state.chooser().warmNanos(service);
     boolean enoughTime =
-        remainingNanos() > serviceNanos * MIN_REMAINING_TIME_FRACTION
-            && stopLeavesTimeFor(serviceNanos);
+        gate.hasEnoughTime() && stopLeavesTimeFor(state.chooser().warmNanos(service));
     RetryDecider.Step step = retryDecider.onAttemptEnded(result, enoughTime, !bodyUsedUp);
     log.onAttemptFailed(attempt.server(), result, cause, step);
     switch (step) {
@@ -368,17 +400,16 @@
         .stopSchedule()
         .map(
             schedule ->
-                schedule.leavesTimeFor(deadlineNanos, averageNanos, route.idempotent(), nowNanos))
+                schedule.leavesTimeFor(
+                    time.deadlineNanos(), averageNanos, route.idempotent(), nowNanos))
         .orElse(true);
   }
 
   private void retryOnAnotherServer() {
     attempt = null;
-    if (state.crashes().maySend(requestHash, state.clock().monotonicNanos())) {
-      chooseServerAndSend();
-    } else {
-      refuse(RequestOutcome.CRASHES_SERVERS, 502, 0);
-    }
+    // It has ended, and its connection may be in use again.
+    requestHandle = null;
+    gate.pass(this::chooseServerAndSend, () -> {});
   }
 
   private record ServerSink(TargetRequestHandle requestHandle) implements ClientRequestBody.Sink {
@@ -399,7 +430,7 @@
       return;
     }
     cancelServerRequest();
-    refuse(RequestOutcome.TIMED_OUT, retryDecider.mayHaveRun() ? 504 : 503, 0);
+    refuseLate();
   }
 
   /**
@@ -462,10 +493,10 @@
   }
 
   private long elapsedNanos() {
-    return state.clock().monotonicNanos() - arrivedNanos;
+    return time.elapsedNanos(state.clock());
   }
 
   private long remainingNanos() {
-    return deadlineNanos - state.clock().monotonicNanos();
+    return time.remainingNanos(state.clock());
   }
 }
--- a/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnectionPool.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnectionPool.java
@@ -107,10 +107,12 @@
   /**
    * Sends a request over an idle connection or, if none is usable, over a new one.
    *
+   * @param gate asked again when a new connection is open; an idle one is used at once
    * @param onConnected called when a new connection is open, also if the request was cancelled
    */
   void send(
       TargetRequest request,
+      SendGate gate,
       TargetResponseListener listener,
       TargetRequestHandle handle,
       Runnable onConnected) {
@@ -138,15 +140,17 @@
               }
               onConnected.run();
               observer.onConnected();
-              // If the client has left or the deadline has passed meanwhile, the event loop
-              // processes that before it runs this task.
-              loop.schedule(
+              gate.pass(
                   () -> sendOverNew(newConnection, request, listener, handle),
-                  0,
-                  TimeUnit.NANOSECONDS);
+                  () -> keepUnused(newConnection));
             });
   }
 
+  private void keepUnused(TargetConnection newConnection) {
+    newConnection.markIdle();
+    release(newConnection, newConnection.isOpen());
+  }
+
   /**
    * Opens a connection that stays idle until a request uses it.
    *
--- a/gateway/src/main/java/org/bambooarch/gateway/target/TargetHttpClient.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/target/TargetHttpClient.java
@@ -55,13 +55,14 @@
   /**
    * Sends a request to a server, over an idle connection or a new one.
    *
+   * @param gate the request's gate, which the request has passed for an idle connection
    * @param listener receives the events of the request, possibly before this method returns
    * @return a handle by which the request can be cancelled and its body streamed
    */
   public TargetRequestHandle send(
-      ServerState server, TargetRequest request, TargetResponseListener listener) {
+      ServerState server, TargetRequest request, SendGate gate, TargetResponseListener listener) {
     TargetRequestHandle handle = new TargetRequestHandle();
-    pool(server).send(request, listener, handle, () -> onConnected(server));
+    pool(server).send(request, gate, listener, handle, () -> onConnected(server));
     return handle;
   }
 
@@ -123,15 +124,19 @@
    * Sends a request to the relay port of another instance, over an idle connection or a new one,
    * which says nothing about whether servers can be reached.
    *
+   * @param gate the request's gate, which the request has passed for an idle connection
    * @param listener receives the events of the request, possibly before this method returns
    * @return a handle by which the request can be cancelled and its body streamed
    */
   public TargetRequestHandle sendOverRelay(
-      InetSocketAddress relay, TargetRequest request, TargetResponseListener listener) {
+      InetSocketAddress relay,
+      TargetRequest request,
+      SendGate gate,
+      TargetResponseListener listener) {
     TargetRequestHandle handle = new TargetRequestHandle();
     relayPools
         .computeIfAbsent(relay, address -> newPool(address, new TargetConnectionPool.Observer() {}))
-        .send(request, listener, handle, () -> {});
+        .send(request, gate, listener, handle, () -> {});
     return handle;
   }
 
