Keep the time as of which the configuration is known from going back

The age only goes by the latest call that has a response, and a response without changes counts whatever call was made since.

--- a/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
@@ -107,6 +107,7 @@
         new ServiceRetryBudgets(
             settings.retryRatio(), settings.retrySlack() * RETRY_SLACK_FRACTION / typicalInstances);
     this.lastTickNanos = clock.monotonicNanos();
+    this.configurationAsOfNanos = lastTickNanos;
   }
 
   /**
@@ -246,7 +247,8 @@
   void onListRead(Topic topic, ControlUpdate update, long askedNanos) {
     listProgress.onRead(topic, update);
     if (topic == Topic.OPERATOR) {
-      configurationAsOfNanos = askedNanos;
+      long laterNanos = Math.max(0, askedNanos - configurationAsOfNanos);
+      configurationAsOfNanos += laterNanos;
     }
   }
 
--- a/gateway/src/main/java/org/bambooarch/gateway/control/ListWatcher.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ListWatcher.java
@@ -158,13 +158,13 @@
 
   private Void onChecked(long call, long askedNanos, ControlUpdate update, Throwable failure) {
     checkInProgress = null;
-    if (call != callNumber) {
-      return null;
-    }
     if (failure == null && update.storeEra() == listEra && update.changes().isEmpty()) {
       state.onListRead(topic, update, askedNanos);
       return null;
     }
+    if (call != callNumber) {
+      return null;
+    }
     // The response to the watch in progress is ignored from here on.
     onChanges(++callNumber, askedNanos, update, failure);
     return null;
--- a/gateway/src/test/java/org/bambooarch/gateway/control/ControlStateTest.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/control/ControlStateTest.java
@@ -144,4 +144,16 @@
 
     assertThat(state.configurationAgeMillis()).isEqualTo(900);
   }
+
+  // A watch that ends after a check was asked for earlier than that.
+  @Test
+  void should_not_count_the_age_of_the_configuration_from_an_earlier_call_that_ends_later() {
+    state.replaceList(Topic.OPERATOR, configuration(7));
+    clock.advanceMillis(5_000);
+    state.onListRead(Topic.OPERATOR, configuration(7), clock.monotonicNanos());
+    state.onListRead(Topic.OPERATOR, configuration(7), 0);
+    clock.advanceMillis(100);
+
+    assertThat(state.configurationAgeMillis()).isEqualTo(100);
+  }
 }
--- a/gateway/src/test/java/org/bambooarch/gateway/control/ListWatcherTest.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/control/ListWatcherTest.java
@@ -324,6 +324,31 @@
     assertThat(state.servers().find("a").orElseThrow().entry().draining()).isTrue();
   }
 
+  @Test
+  void should_count_a_check_without_changes_when_another_call_was_made_meanwhile() {
+    start();
+    ListWatcher operators =
+        new ListWatcher(
+            Topic.OPERATOR,
+            store,
+            state,
+            channel.eventLoop(),
+            RandomGenerator.of("L64X128MixRandom"),
+            era,
+            MAX_LIST_AGE_MILLIS);
+    operators.start();
+    advance(2_000);
+    CompletableFuture<ControlUpdate> answer = new CompletableFuture<>();
+    store.pending = answer;
+    operators.check();
+    store.pending = new CompletableFuture<>();
+    operators.renew();
+    answer.complete(listOf(0, 7));
+    advance(100);
+
+    assertThat(state.isConfigurationConfirmed()).isTrue();
+  }
+
   @Test
   void should_make_one_call_for_all_checks_at_the_same_time() {
     start();
