Spread watches after the store's return, and only over those that watch

Found by the review of that fix: after an outage without a change on a list all instances begin to watch at the same time as well, and waited at random for at least half of the longest time; and instances that are stopping had a rank, though they no longer watch, so that a small fleet could be without a call for 2.6 to 2.8 s where 1.4 s are allowed.

The first watch after the store's return is ranked like one after a change, and only instances that take callers count. An instance that the store turns away, or one that is gone for less than 2.25 s, still has a rank.

--- a/gateway/src/main/java/org/bambooarch/gateway/control/ListWatcher.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ListWatcher.java
@@ -205,13 +205,18 @@
     if (!storeReachable) {
       return 0;
     }
-    List<Heartbeat> others = state.fleet().liveHeartbeats(state.clock().monotonicNanos());
+    List<Heartbeat> others =
+        state.fleet().liveHeartbeats(state.clock().monotonicNanos()).stream()
+            // Those that stop no longer watch.
+            .filter(Heartbeat::takesCallers)
+            .toList();
     return beginsWithOthers ? waitMillisByRank(others) : randomWaitMillis(others.size() + 1);
   }
 
   /**
    * Returns the wait of a call that all instances begin at the same time, since they have read the
-   * same change: one call after the other ends, in the order of the instances' names.
+   * same change or the store has returned: one call after the other ends, in the order of the
+   * instances' names.
    */
   private long waitMillisByRank(List<Heartbeat> others) {
     String ownName = state.fleet().self().name();
@@ -261,6 +266,7 @@
       onFailure(failure);
       return;
     }
+    boolean regained = !storeReachable;
     onStoreReachable();
     if (update.storeEra() > listEra) {
       // Calls onNewEra() of all lists, this one included.
@@ -273,8 +279,8 @@
     }
     version = Math.max(version, update.version());
     state.onListRead(topic, update, askedNanos);
-    beginsWithOthers = !update.changes().isEmpty();
-    if (!beginsWithOthers) {
+    beginsWithOthers = regained || !update.changes().isEmpty();
+    if (update.changes().isEmpty()) {
       requestNextUpdate();
       return;
     }
--- a/gateway/src/test/java/org/bambooarch/gateway/control/WatchSpreadTest.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/control/WatchSpreadTest.java
@@ -19,6 +19,7 @@
 import org.bambooarch.gateway.GatewaySettings;
 import org.bambooarch.gateway.spi.ControlChange;
 import org.bambooarch.gateway.spi.ControlStore;
+import org.bambooarch.gateway.spi.ControlStoreException;
 import org.bambooarch.gateway.spi.ControlUpdate;
 import org.bambooarch.gateway.spi.Topic;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -31,9 +32,14 @@
   /** Time for noticing that a response was lost, and for connecting and reading again. */
   private static final long RECOVERY_MILLIS = 600 + ControlStore.WATCH_RESPONSE_TIMEOUT_MILLIS;
 
-  /** A store with one change, after which nothing happens. */
+  /** A store whose first watch shows a change or fails, and after which nothing happens. */
   private static final class QuietStore implements ControlStore {
     private final List<Long> waitsMillis = new ArrayList<>();
+    private final boolean firstWatchFails;
+
+    QuietStore(boolean firstWatchFails) {
+      this.firstWatchFails = firstWatchFails;
+    }
 
     @Override
     public CompletableFuture<ControlUpdate> read(Topic topic) {
@@ -43,6 +49,14 @@
     @Override
     public CompletableFuture<ControlUpdate> watch(Topic topic, long after, long waitMillis) {
       waitsMillis.add(waitMillis);
+      if (firstWatchFails && waitsMillis.size() == 1) {
+        return CompletableFuture.failedFuture(ControlStoreException.unexpectedStatus("watch", 503));
+      }
+      if (firstWatchFails) {
+        return waitMillis == 0
+            ? CompletableFuture.completedFuture(new ControlUpdate(0, 7, List.of()))
+            : new CompletableFuture<>();
+      }
       return after > 7
           ? new CompletableFuture<>()
           : CompletableFuture.completedFuture(
@@ -83,10 +97,10 @@
         MAX_LIST_AGE_MILLIS);
   }
 
-  private static Heartbeat heartbeat(int number) {
+  private static Heartbeat heartbeat(int number, boolean takesCallers) {
     return new Heartbeat(
         instance(number),
-        true,
+        takesCallers,
         false,
         0,
         ListVersions.NONE,
@@ -97,17 +111,22 @@
         List.of());
   }
 
-  /** Returns how long the watch waits that an instance begins after it has read a change. */
-  private static long waitAfterChangeMillis(int number, int instances, RandomGenerator random) {
+  /**
+   * Returns how long the watch waits that an instance begins after the store has shown a change or
+   * has returned.
+   *
+   * @param stopping number of instances, the first ones, that are stopping
+   */
+  private static long waitMillis(
+      int number, int instances, int stopping, QuietStore store, RandomGenerator random) {
     ControlState state = new ControlState(settings(number), ManualClock.startingAtZero());
     for (int other = 0; other < instances; other++) {
       if (other != number) {
-        state.onHeartbeat(heartbeat(other));
+        state.onHeartbeat(heartbeat(other, other >= stopping));
       }
     }
     EmbeddedChannel channel = new EmbeddedChannel();
     channel.freezeTime();
-    QuietStore store = new QuietStore();
     new ListWatcher(
             Topic.OPERATOR,
             store,
@@ -117,25 +136,49 @@
             new StoreEra(() -> {}),
             MAX_LIST_AGE_MILLIS)
         .start();
-    channel.runPendingTasks();
-    channel.advanceTimeBy(1, TimeUnit.SECONDS);
-    channel.runPendingTasks();
+    for (int step = 0; step < 100; step++) {
+      channel.runPendingTasks();
+      channel.advanceTimeBy(10, TimeUnit.MILLISECONDS);
+    }
+    assertThat(store.waitsMillis.getLast()).isPositive();
     return store.waitsMillis.getLast();
   }
 
+  private static void assertThatOneEndsInTime(
+      int instances, int stopping, boolean firstWatchFails, long seed) {
+    RandomGenerator random = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
+    List<Long> waitsMillis = new ArrayList<>();
+    for (int number = stopping; number < instances; number++) {
+      QuietStore store = new QuietStore(firstWatchFails);
+      waitsMillis.add(waitMillis(number, instances, stopping, store, random));
+    }
+
+    assertThat(waitsMillis)
+        .anyMatch(waitMillis -> waitMillis + RECOVERY_MILLIS <= MAX_LIST_AGE_MILLIS);
+  }
+
   // Incident brenta-lb: all instances began their watches after the same change, and the store went
   // silent before the first of them ended.
   @ParameterizedTest
   @CsvSource({"1,1", "2,2", "3,3", "11,4", "11,5", "54,6", "200,7"})
   void should_end_one_watch_in_time_when_all_instances_begin_theirs_after_the_same_change(
       int instances, long seed) {
-    RandomGenerator random = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
-    List<Long> waitsMillis = new ArrayList<>();
-    for (int number = 0; number < instances; number++) {
-      waitsMillis.add(waitAfterChangeMillis(number, instances, random));
-    }
+    assertThatOneEndsInTime(instances, 0, false, seed);
+  }
 
-    assertThat(waitsMillis)
-        .anyMatch(waitMillis -> waitMillis + RECOVERY_MILLIS <= MAX_LIST_AGE_MILLIS);
+  // The same when they begin their watches after the same outage of the store.
+  @ParameterizedTest
+  @CsvSource({"1,1", "2,2", "3,3", "11,4", "11,5", "54,6", "200,7"})
+  void should_end_one_watch_in_time_when_all_instances_begin_theirs_after_the_stores_return(
+      int instances, long seed) {
+    assertThatOneEndsInTime(instances, 0, true, seed);
+  }
+
+  // The same when instances stop, which send heartbeats but no longer watch.
+  @ParameterizedTest
+  @CsvSource({"3,1", "11,2", "11,3"})
+  void should_end_one_watch_in_time_when_the_first_instances_are_stopping(
+      int instances, long seed) {
+    assertThatOneEndsInTime(instances, 2, false, seed);
   }
 }
