Refuse a body as too large for good only by the limit in force

The path that asked nobody did not compare the configurations, and the one that asked had no timer.

Both paths compare the limit now, so that a change of something else makes no 503 of a right 413, and the wait ends after the same 0.3 s as for other refusals.

--- a/gateway/src/main/java/org/bambooarch/gateway/request/ProxyExchange.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/ProxyExchange.java
@@ -186,22 +186,30 @@
   public void onBodyTooLarge() {
     cancelServerRequest();
     requestHandle = null;
-    if (state.isConfigurationConfirmed()) {
-      refuse(RequestOutcome.TOO_LARGE, 413, 0);
+    if (state.isConfigurationConfirmed() || state.isConfigurationOutdated()) {
+      refuseTooLarge();
       return;
     }
     context.configurationCheck().check().thenRun(this::refuseTooLarge);
+    context
+        .loop()
+        .schedule(this::refuseTooLarge, ProxyService.MAX_CHECK_MILLIS, TimeUnit.MILLISECONDS);
   }
 
   /** Refuses the request for good only if the limit is known to be the newest. */
   private void refuseTooLarge() {
-    if (state.isConfigurationConfirmed() && state.config().filter(admittedBy::equals).isPresent()) {
+    boolean limitInForce = state.config().filter(this::hasSameBodyLimit).isPresent();
+    if (limitInForce && state.isConfigurationConfirmed()) {
       refuse(RequestOutcome.TOO_LARGE, 413, 0);
     } else {
       refuseWithoutServer(RequestOutcome.CONFIGURATION_OUTDATED, DEFAULT_RETRY_AFTER_MILLIS);
     }
   }
 
+  private boolean hasSameBodyLimit(SteeringConfig config) {
+    return config.callerLimits().maxBodyBytes() == admittedBy.callerLimits().maxBodyBytes();
+  }
+
   @Override
   public void onBodyReadFailed() {
     onClientDisconnected();
--- a/gateway/src/main/java/org/bambooarch/gateway/request/ProxyService.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/ProxyService.java
@@ -42,7 +42,7 @@
   private static final long NO_CONFIGURATION_SPREAD_MILLIS = 150;
 
   /** Longest time for which a request waits for the store to confirm the configuration. */
-  private static final long MAX_CHECK_MILLIS = 300;
+  static final long MAX_CHECK_MILLIS = 300;
 
   /**
    * Part of the time that a client waits after which it gives up a request that was not read, as a
