Tell callers at the end of a stop that nothing of their request was sent

At the end of the grace of a planned stop, requests that were still being read or waited for a connection were cut like those that servers were working on.

The cause: only requests of which the head came late were refused; at the end the process closed all connections, whatever had become of their requests. Before, the test failed: the client of an order of which half the body had come got no 503 after the process had ended.

Requests at which a server may be working are left as they were.

--- a/gateway/src/main/java/org/bambooarch/gateway/Gateway.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/Gateway.java
@@ -77,6 +77,7 @@
   private final CompletableFuture<Void> stopped = new CompletableFuture<>();
   private PeerSocket peerSocket;
   private long lastHeartbeatNanos;
+  private boolean refusedUnsent;
 
   /**
    * Creates an instance that neither listens nor connects until {@link #start()} is called.
@@ -292,16 +293,19 @@
     peerSocket.sendHeartbeats();
     storeSynchronizer.stop();
     loop.scheduleWithFixedDelay(
-        () -> {
-          boolean idle = !state.acceptsRequests() && inFlight() == 0;
-          if (idle || schedule.hasEnded(clock.monotonicNanos())) {
-            Logger.info("event=stopped cut={}", inFlight());
-            stopped.complete(null);
-          }
-        },
-        STOP_POLL_MILLIS,
-        STOP_POLL_MILLIS,
-        TimeUnit.MILLISECONDS);
+        () -> pollStop(schedule), STOP_POLL_MILLIS, STOP_POLL_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  private void pollStop(StopSchedule schedule) {
+    boolean idle = !state.acceptsRequests() && inFlight() == 0;
+    if (idle || refusedUnsent) {
+      Logger.info("event=stopped cut={}", inFlight());
+      stopped.complete(null);
+    } else if (schedule.hasEnded(clock.monotonicNanos())) {
+      // The responses are written until the next call.
+      refusedUnsent = true;
+      proxyService.refuseUnsent();
+    }
   }
 
   private int inFlight() {
--- a/gateway/src/main/java/org/bambooarch/gateway/request/ProxyExchange.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/ProxyExchange.java
@@ -453,6 +453,15 @@
     finish(RequestOutcome.CALLER_LEFT, 0, "");
   }
 
+  /** Refuses the request as not run unless it may have run, or has ended. */
+  void refuseUnsent() {
+    if (finished || retryDecider.mayHaveRun()) {
+      return;
+    }
+    cancelServerRequest();
+    refuse(RequestOutcome.STOPPING, 503, ProxyService.STOPPING_RETRY_MILLIS);
+  }
+
   private void cancelServerRequest() {
     if (requestHandle != null && server != null && !finished) {
       requestHandle.cancel();
--- a/gateway/src/main/java/org/bambooarch/gateway/request/ProxyService.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/ProxyService.java
@@ -11,7 +11,10 @@
 import com.linecorp.armeria.server.ServiceRequestContext;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.bambooarch.core.key.KeyDigest;
@@ -57,7 +60,8 @@
   static final long STOPPING_RETRY_MILLIS = 100;
 
   private final GatewayContext context;
-  private int inFlight;
+  private final Set<ProxyExchange> exchanges = new HashSet<>();
+  private int pendingRefusals;
 
   /** Creates the service; it refuses all requests while the state accepts none. */
   public ProxyService(GatewayContext context) {
@@ -66,7 +70,15 @@
 
   /** Returns how many requests have no complete response yet. Called on the event loop only. */
   public int inFlight() {
-    return inFlight;
+    return exchanges.size() + pendingRefusals;
+  }
+
+  /**
+   * Refuses all requests of which nothing has been sent to a server, since the process is about to
+   * end. Called on the event loop only.
+   */
+  public void refuseUnsent() {
+    List.copyOf(exchanges).forEach(ProxyExchange::refuseUnsent);
   }
 
   @Override
@@ -164,7 +176,7 @@
             writer,
             () -> connection.isNewest(number),
             config);
-    inFlight++;
+    exchanges.add(exchange);
     // Armeria reports that the client has disconnected a second later than the connection does.
     ChannelFutureListener onClosed = closed -> exchange.onClientDisconnected();
     channel.closeFuture().addListener(onClosed);
@@ -172,7 +184,7 @@
         .whenComplete()
         .whenCompleteAsync(
             (done, failure) -> {
-              inFlight--;
+              exchanges.remove(exchange);
               channel.closeFuture().removeListener(onClosed);
               exchange.onClientDisconnected();
             },
@@ -201,11 +213,11 @@
       return refuseIfConfirmed(request, clientHeaders, config, outcome, status);
     }
     CompletableFuture<HttpResponse> response = new CompletableFuture<>();
-    inFlight++;
+    pendingRefusals++;
     Runnable respond =
         () -> {
           if (!response.isDone()) {
-            inFlight--;
+            pendingRefusals--;
             response.complete(refuseIfConfirmed(request, clientHeaders, config, outcome, status));
           }
         };
