Bound what is kept of a response of the platform's store

The platform's store can do that here. Informational responses and tiny chunks are kept one by one as well. A list whose pages do not end was read on and on. And a short text of many empty values was parsed into many times its length.

A call that exceeds a limit fails as any other, so the list is read again after the usual delay and the instance goes on with what it has. The capacity planned for, 3,800 servers and 2,200 instances, is 8 and 5 pages of 500 rows.

--- a/gateway/src/main/java/org/bambooarch/gateway/spi/ControlStoreException.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/spi/ControlStoreException.java
@@ -32,6 +32,14 @@
         false);
   }
 
+  /** Returns an exception for a list whose pages do not end. */
+  public static ControlStoreException endlessList(String call, int pages, int changes) {
+    return new ControlStoreException(
+        "expected the end of the list but the store has more after %d pages with %d changes: %s"
+            .formatted(pages, changes, call),
+        false);
+  }
+
   /** Returns whether the full list must be read again, since its recent changes are unknown. */
   public boolean isHistoryLost() {
     return historyLost;
