Leave half of a short grace to finish requests in entry

The cause: an instance goes on serving until look-up responses that name it have expired, which takes 10 s, or until the deadline, whichever comes first; with a short grace nothing was left to finish requests.

It now refuses new requests after half of the grace at the latest. Callers with an older look-up response get the refusal as not run, which they can repeat at another instance, in place of a cut connection.

Before, the case of 6 s of the new test in GracefulShutdownTest failed (accepted for 6 s, expected 3 s); the cases of 20 and 25 s accept for 10 s before and after.

--- a/entry/src/main/java/org/bambooarch/entry/shutdown/GracefulShutdown.java
+++ b/entry/src/main/java/org/bambooarch/entry/shutdown/GracefulShutdown.java
@@ -9,9 +9,9 @@
  * Stops an instance without interrupting requests.
  *
  * <p>The steps are: announce that the instance leaves, go on serving until no client can hold an
- * unexpired look-up response that names this instance, let running requests and streams finish,
- * then stop. {@link #stopNow()} ends the wait for look-up responses to expire and skips the
- * finishing of requests; a second signal calls it.
+ * unexpired look-up response that names this instance or half of the time is over, let running
+ * requests and streams finish, then stop. {@link #stopNow()} ends the wait for look-up responses to
+ * expire and skips the finishing of requests; a second signal calls it.
  *
  * <pre>{@code
  * GracefulShutdown shutdown = GracefulShutdown.of(steps, clock);
@@ -85,10 +85,19 @@
     immediateStop.countDown();
   }
 
+  /**
+   * Returns until when new requests are accepted, as monotonic time in nanoseconds: until look-up
+   * responses have expired, but at least half of the time until the deadline is left for requests
+   * to finish.
+   */
+  static long acceptUntilNanos(long nowNanos, long lookupsValidMillis, long deadlineNanos) {
+    long halfNanos = Math.max(0, deadlineNanos - nowNanos) / 2;
+    return nowNanos + Math.min(lookupsValidMillis * NANOS_PER_MILLI, halfNanos);
+  }
+
   private void awaitLookupsExpired(long deadlineNanos) {
     long nowNanos = clock.monotonicNanos();
-    long expiredNanos = nowNanos + steps.lookupsValidMillis() * NANOS_PER_MILLI;
-    long untilNanos = expiredNanos - deadlineNanos < 0 ? expiredNanos : deadlineNanos;
+    long untilNanos = acceptUntilNanos(nowNanos, steps.lookupsValidMillis(), deadlineNanos);
     try {
       boolean stopRequested = immediateStop.await(untilNanos - nowNanos, TimeUnit.NANOSECONDS);
       if (stopRequested) {
--- a/entry/src/test/java/org/bambooarch/entry/shutdown/GracefulShutdownTest.java
+++ b/entry/src/test/java/org/bambooarch/entry/shutdown/GracefulShutdownTest.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import org.bambooarch.core.time.ManualClock;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 class GracefulShutdownTest {
 
@@ -57,4 +59,18 @@
     // then
     assertThat(steps).containsExactly("announce", "wait", "stop");
   }
+
+  // Guards against requests that are accepted until the deadline, at which they are cut: look-up
+  // responses are valid for longer than a short grace period.
+  @ParameterizedTest
+  @CsvSource({"10000, 25000, 10000", "10000, 20000, 10000", "10000, 6000, 3000", "10000, 0, 0"})
+  void should_leave_half_of_the_time_to_finish_requests_when_look_ups_are_valid_for_longer(
+      long lookupsValidMillis, long graceMillis, long acceptMillis) {
+    long nowNanos = Long.MAX_VALUE - 1_000;
+    long acceptUntilNanos =
+        GracefulShutdown.acceptUntilNanos(
+            nowNanos, lookupsValidMillis, nowNanos + graceMillis * 1_000_000L);
+
+    assertThat(acceptUntilNanos - nowNanos).isEqualTo(acceptMillis * 1_000_000L);
+  }
 }
