Bound what all responses together take of the memory

A single response cannot do that here: its first 256 KiB are held until it is complete, the rest is read as the client reads it. But every request held as much, whatever their number, and so did complete responses of clients that do not read.

A response for which nothing is left is passed on at once as one that exceeds its buffer is; it can then not be replaced by another server's if it breaks off, and its client's connection is aborted instead. Memory is given back when the client has taken the response or has left; what arrives after that is dropped.

--- a/gateway/src/main/java/org/bambooarch/gateway/Gateway.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/Gateway.java
@@ -33,6 +33,7 @@
 import org.bambooarch.gateway.relay.RelayService;
 import org.bambooarch.gateway.request.GatewayContext;
 import org.bambooarch.gateway.request.ProxyService;
+import org.bambooarch.gateway.request.ResponseBuffers;
 import org.bambooarch.gateway.spi.ControlStore;
 import org.bambooarch.gateway.spi.RequestFormat;
 import org.bambooarch.gateway.target.PartitionMonitor;
@@ -139,7 +140,8 @@
             loop,
             metrics,
             requestLog,
-            random);
+            random,
+            new ResponseBuffers());
     this.proxyService = new ProxyService(context);
     this.relayService = new RelayService(context);
     this.server = server(directoryFormat, eventLoops);
--- a/gateway/src/main/java/org/bambooarch/gateway/relay/RelayExchange.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/relay/RelayExchange.java
@@ -213,7 +213,8 @@
             writer,
             context.requestFormat().toRelayedResponse(head),
             requestHandle,
-            state::isShuttingDown);
+            state::isShuttingDown,
+            context.responseBuffers());
   }
 
   @Override
--- a/gateway/src/main/java/org/bambooarch/gateway/request/BufferedResponseRelay.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/BufferedResponseRelay.java
@@ -15,9 +15,9 @@
  * Relays a server's response to the client.
  *
  * <p>A short response is buffered and relayed once it is complete, so that an incomplete one can
- * still be replaced, for example by another server's response. A response that exceeds the buffer
- * is streamed from then on; if it is truncated, the client's connection is aborted, so that the
- * client never takes it for a complete one.
+ * still be replaced, for example by another server's response. A response that exceeds the buffer,
+ * or for which the instance has no memory left, is streamed from then on; if it is truncated, the
+ * client's connection is aborted, so that the client never takes it for a complete one.
  *
  * <p>Used on the event loop only.
  */
@@ -30,7 +30,9 @@
   private final ResponseHeaders head;
   private final TargetRequestHandle handle;
   private final BooleanSupplier closesConnection;
+  private final ResponseBuffers buffers;
   private final ByteArrayOutputStream buffer = new ByteArrayOutputStream();
+  private long takenBytes;
   private boolean started;
   private boolean ended;
 
@@ -42,16 +44,26 @@
    * @param handle handle of the request to the server
    * @param closesConnection tells, when the response is written, whether it is the last one on the
    *     client's connection
+   * @param buffers memory for the part of the response that the client does not have yet
    */
   public BufferedResponseRelay(
       HttpResponseWriter writer,
       ResponseHeaders head,
       TargetRequestHandle handle,
-      BooleanSupplier closesConnection) {
+      BooleanSupplier closesConnection,
+      ResponseBuffers buffers) {
     this.writer = writer;
     this.head = head;
     this.handle = handle;
     this.closesConnection = closesConnection;
+    this.buffers = buffers;
+    writer
+        .whenComplete()
+        .handle(
+            (done, failure) -> {
+              releaseBuffer();
+              return null;
+            });
   }
 
   /** Returns whether a part of the response has been written to the client already. */
@@ -59,7 +71,7 @@
     return started;
   }
 
-  /** Buffers a part of the body, or writes it to the client; releases the part. */
+  /** Buffers a part of the body, writes it or, if the client has left, drops it; releases it. */
   public void onBodyPart(ByteBuf part) {
     byte[] bytes;
     try {
@@ -67,12 +79,15 @@
     } finally {
       part.release();
     }
+    if (!writer.isOpen()) {
+      return;
+    }
     if (started) {
       writePart(bytes);
       return;
     }
     buffer.writeBytes(bytes);
-    if (buffer.size() > MAX_BUFFERED_BYTES) {
+    if (buffer.size() > MAX_BUFFERED_BYTES || !takeBuffer(bytes.length)) {
       started = true;
       write(headers().build());
       writePart(buffer.toByteArray());
@@ -87,7 +102,19 @@
     writer.whenConsumed().thenRun(this::readOn);
   }
 
+  private boolean takeBuffer(int bytes) {
+    boolean taken = buffers.tryTake(bytes);
+    takenBytes += taken ? bytes : 0;
+    return taken;
+  }
+
+  private void releaseBuffer() {
+    buffers.release(takenBytes);
+    takenBytes = 0;
+  }
+
   private void readOn() {
+    releaseBuffer();
     // After the end of the response the connection belongs to another request.
     if (!ended) {
       handle.setAutoRead(true);
--- a/gateway/src/main/java/org/bambooarch/gateway/request/GatewayContext.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/GatewayContext.java
@@ -22,6 +22,7 @@
  * @param metrics counters and histograms of requests
  * @param requestLog rate-limited log lines about single requests
  * @param random source of random numbers
+ * @param responseBuffers memory for responses
  */
 public record GatewayContext(
     ControlState state,
@@ -32,4 +33,5 @@
     EventLoop loop,
     GatewayMetrics metrics,
     RequestEventLog requestLog,
-    RandomGenerator random) {}
+    RandomGenerator random,
+    ResponseBuffers responseBuffers) {}
--- a/gateway/src/main/java/org/bambooarch/gateway/request/ServerAttempt.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/ServerAttempt.java
@@ -159,7 +159,8 @@
             writer,
             context.requestFormat().toClientResponse(responseHead),
             exchange.requestHandle(),
-            exchange::closesConnection);
+            exchange::closesConnection,
+            context.responseBuffers());
   }
 
   @Override
--- a/gateway/src/test/java/org/bambooarch/gateway/request/BufferedResponseRelayTest.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/request/BufferedResponseRelayTest.java
@@ -14,7 +14,11 @@
   private final HttpResponseWriter writer = HttpResponse.streaming();
   private final BufferedResponseRelay relay =
       new BufferedResponseRelay(
-          writer, ResponseHeaders.of(200), new TargetRequestHandle(), () -> false);
+          writer,
+          ResponseHeaders.of(200),
+          new TargetRequestHandle(),
+          () -> false,
+          new ResponseBuffers());
 
   @Test
   void should_drop_a_short_response_when_the_client_has_left() {
