Forward methods that the HTTP server does not know

Callers got a 405 of our own for methods such as PROPFIND, although only servers need to understand them (RFC 9110, 9.1).

Armeria refuses methods outside its own list.

Over HTTP/2 the 405 remains.

--- a/gateway/src/main/java/org/bambooarch/gateway/relay/RelayExchange.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/relay/RelayExchange.java
@@ -1,5 +1,6 @@
 package org.bambooarch.gateway.relay;
 
+import com.linecorp.armeria.common.HttpHeaderNames;
 import com.linecorp.armeria.common.HttpResponseWriter;
 import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.ResponseHeaders;
@@ -153,7 +154,7 @@
     // Whether the request is idempotent is not known here, so it is sent as if it were not.
     TargetRequest request =
         new TargetRequest(
-            headers.method().name(),
+            headers.get(HttpHeaderNames.METHOD),
             headers.path(),
             headersToServer,
             relayedHeaders.requestId(),
--- a/gateway/src/main/java/org/bambooarch/gateway/request/ProxyExchange.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/ProxyExchange.java
@@ -176,7 +176,7 @@
    * Returns a hash by which the crash history recognizes the same request when it is sent again.
    */
   private long requestFingerprint() {
-    long hash = Hashes.of(headers.method().name() + " " + headers.path());
+    long hash = Hashes.of(headers.get(HttpHeaderNames.METHOD) + " " + headers.path());
     hash = Hashes.combine(hash, Hashes.of(customer.map(CustomerPolicy::name).orElse("")));
     hash = Hashes.combine(hash, Hashes.of(clientHeaders.object().orElse("")));
     return Hashes.combine(hash, body.bufferedBody().map(Arrays::hashCode).orElse(0));
@@ -293,7 +293,7 @@
     HttpHeaders headersToServer = context.requestFormat().toServerRequest(headers, serverHeaders);
     TargetRequest request =
         new TargetRequest(
-            headers.method().name(),
+            headers.get(HttpHeaderNames.METHOD),
             headers.path(),
             headersToServer,
             clientHeaders.requestId(),
