entry: refuse as not run while the configuration may be outdated

Callers of an entry instance got a final 404 or 401 for routes and keys that a newer version permits, for as long as the instance had lost its source of configuration (404 without a limit, 401 for up to 10 s), or while it knew of a newer version that it had not applied yet.

ForwardService refused by the view that was published last without asking how old that is. The replicator knows: it tracks when the applied version was last confirmed to be the newest, and the highest version of which another instance has told. The view had only the deadline of keys.

The view now holds both. A request that it does not permit is refused for good only if the view was confirmed within 3 s, the time after which changes are in force everywhere, and no newer version is known; otherwise the caller gets 503 configuration-stale, not run, with Retry-After. Two different keys in one request stay a 401. Keys are published before the view, so that a key is never checked by an older version than that of the view.

--- a/core/src/main/java/org/bambooarch/core/request/NotRun.java
+++ b/core/src/main/java/org/bambooarch/core/request/NotRun.java
@@ -47,6 +47,8 @@
     CRASHES_TARGETS("crashes-targets", 503),
     /** The configuration is too old to tell whether the API key was withdrawn. */
     KEYS_STALE("keys-stale", 503),
+    /** The configuration, which does not permit the request, may not be the newest. */
+    CONFIGURATION_STALE("configuration-stale", 503),
     /** This instance is shutting down. */
     STOPPING("stopping", 503);
 
--- a/entry/src/main/java/org/bambooarch/entry/control/ControlLoop.java
+++ b/entry/src/main/java/org/bambooarch/entry/control/ControlLoop.java
@@ -297,15 +297,24 @@
   }
 
   private void publish() {
-    FleetView before = view;
+    final FleetView before = view;
     ConfigState state = config.replicator().state();
     OptionalLong keysFreshUntilNanos = config.replicator().keysFreshUntilNanos();
-    boolean configChanged = state.version() != before.config().version();
-    RouteTable routes = configChanged ? RouteTable.of(state.inventory()) : before.routes();
-    view = new FleetView(state, routes, instanceList.instances(), keysFreshUntilNanos);
+    replicationStatus = config.replicator().status();
+    // A request reads the view before its key is checked, so the keys must not be older than the
+    // view.
     keyCheck.publish(state);
     keysFreshUntilNanos.ifPresent(keyCheck::keepFreshUntil);
-    replicationStatus = config.replicator().status();
+    boolean configChanged = state.version() != before.config().version();
+    RouteTable routes = configChanged ? RouteTable.of(state.inventory()) : before.routes();
+    view =
+        new FleetView(
+            state,
+            routes,
+            instanceList.instances(),
+            keysFreshUntilNanos,
+            config.replicator().keysConfirmedNanos(),
+            replicationStatus.knownHeadVersion());
     budgets.update(state.version(), state.inventory());
     routing.update(state.inventory(), instanceList.instances());
     if (configChanged) {
--- a/entry/src/main/java/org/bambooarch/entry/request/ForwardService.java
+++ b/entry/src/main/java/org/bambooarch/entry/request/ForwardService.java
@@ -59,16 +59,17 @@
   public HttpResponse serve(ServiceRequestContext context, HttpRequest request) {
     String requestId = services.newRequestId();
     List<HeaderField> headers = HeaderConverter.toFields(request.headers());
-    Optional<RouteMatch> match = view.get().routes().match(request.method().name(), context.path());
+    FleetView current = view.get();
+    Optional<RouteMatch> match = current.routes().match(request.method().name(), context.path());
     if (match.isEmpty()) {
-      return refuse(NotRun.Reason.NO_ROUTE, "no route matches this method and path", requestId);
+      return refuse(ConfigurationRefusals.noRoute(isNewest(current)), headers, requestId);
     }
     KeyHeader keyHeader = HeaderRules.findKey(headers);
     KeyCheckResult keyCheckResult =
         keyHeader.key().map(services.keyCheck()::check).orElseGet(KeyCheckResult.Rejected::new);
     boolean openToAll = match.get().route().openToAll() && keyHeader instanceof KeyHeader.Missing;
     if (!openToAll && !(keyCheckResult instanceof KeyCheckResult.Accepted)) {
-      return refuse(KeyRefusals.of(keyCheckResult), headers, requestId);
+      return refuse(keyRefusal(keyHeader, keyCheckResult, current), headers, requestId);
     }
     if (keyHeader.key().filter(key -> containsKey(request.path(), key)).isPresent()) {
       return refuse(NotRun.Reason.BAD_REQUEST, "the path contains the caller's key", requestId);
@@ -76,6 +77,18 @@
     return acceptRequest(request, headers, match.get(), keyCheckResult, requestId);
   }
 
+  private boolean isNewest(FleetView current) {
+    return current.isConfirmedNewest(services.clock().monotonicNanos());
+  }
+
+  private NotRun keyRefusal(KeyHeader keyHeader, KeyCheckResult result, FleetView current) {
+    boolean mayBePermitted =
+        result instanceof KeyCheckResult.Rejected && !(keyHeader instanceof KeyHeader.Ambiguous);
+    return mayBePermitted
+        ? ConfigurationRefusals.keyRejected(isNewest(current))
+        : KeyRefusals.of(result);
+  }
+
   private HttpResponse acceptRequest(
       HttpRequest request,
       List<HeaderField> headers,
--- a/entry/src/test/java/org/bambooarch/entry/control/ControlLoopTest.java
+++ b/entry/src/test/java/org/bambooarch/entry/control/ControlLoopTest.java
@@ -121,6 +121,25 @@
     assertThat(restarted.view().areKeysFresh(System.nanoTime())).isTrue();
   }
 
+  // Guards against final refusals by a version that is older than one of which a peer has told.
+  @Test
+  void should_not_take_its_configuration_for_the_newest_when_a_peer_has_told_of_a_newer_one()
+      throws Exception {
+    // given
+    ControlLoop kochiA = startListedLoop("entry-1", "kochi-a");
+    ControlLoop kochiB = startListedLoop("entry-2", "kochi-b");
+    await(() -> hasPeers(kochiA, 1) && hasPeers(kochiB, 1));
+    await(() -> kochiB.view().isConfirmedNewest(System.nanoTime()));
+    // when: the changes before this one are missing, so that it cannot be applied
+    kochiA.announceChange(new LoggedChange(9, "{\"kind\":\"withdraw-key\",\"digest\":\"d1\"}"));
+    // then
+    await(() -> kochiA.view().knownHeadVersion() == 9);
+    assertThat(kochiA.view().config().version()).isEqualTo(1);
+    assertThat(kochiA.view().isConfirmedNewest(System.nanoTime())).isFalse();
+    await(() -> kochiB.view().knownHeadVersion() == 9);
+    assertThat(kochiB.view().isConfirmedNewest(System.nanoTime())).isFalse();
+  }
+
   @Test
   void should_apply_a_change_on_peers_when_it_is_announced_while_the_store_is_down()
       throws Exception {
