Count what an instance admitted before it was started again

When an instance was killed and started again, the others replaced its newest heartbeat by the first one of the new run, which reports next to nothing, although what the earlier run admitted is still in the customer's window. Where all of a customer's callers had used that instance and then went to the others, the fleet admitted more than the customer's limit with its tolerance (QUOTA).

The table of the fleet now keeps the newest heartbeat of an earlier run, and the limiter counts it for one window after it was heard. Nothing changes in the heartbeats.

--- a/core/src/main/java/org/bambooarch/core/steering/fleet/CustomerRateLimiter.java
+++ b/core/src/main/java/org/bambooarch/core/steering/fleet/CustomerRateLimiter.java
@@ -74,6 +74,8 @@
   /** Demand below which heartbeats leave a customer out, in requests per second. */
   private static final double MIN_REPORTED_DEMAND_PER_SECOND = 0.05;
 
+  private static final double NANOS_PER_SECOND = 1e9;
+
   private final FleetTable fleet;
   private final QuotaTolerance tolerance;
   private final Map<String, CustomerTokenBucket> buckets = new HashMap<>();
@@ -128,6 +130,9 @@
   /** Updates the demands and divides the rates of the configured customers anew. */
   public void tick(SteeringConfig config, long nowNanos, long sinceLastTickNanos) {
     List<Heartbeat> others = fleet.recentHeartbeats(nowNanos);
+    // What an instance admitted before it was started again is still in the window.
+    long windowNanos = (long) (tolerance.windowSeconds() * NANOS_PER_SECOND);
+    List<Heartbeat> earlierRuns = fleet.heartbeatsOfEarlierRuns(windowNanos, nowNanos);
     boolean mayBePartitioned = fleet.mayBePartitioned(nowNanos);
     for (CustomerPolicy customer : config.customers()) {
       CustomerTokenBucket bucket = bucket(customer, nowNanos);
@@ -140,12 +145,20 @@
       } else {
         demandFractionsBeforePartition.put(customer.name(), byDemand);
       }
-      bucket.setShare(share(customer, byDemand, others), nowNanos);
+      int hash = Hashes.intOf(customer.name());
+      int admittedByOthers = admitted(hash, others) + admitted(hash, earlierRuns);
+      bucket.setShare(share(customer, byDemand, admittedByOthers), nowNanos);
     }
   }
 
+  private static int admitted(int customerHash, List<Heartbeat> heartbeats) {
+    return heartbeats.stream()
+        .mapToInt(heartbeat -> heartbeat.customerAdmitted().getOrDefault(customerHash, 0))
+        .sum();
+  }
+
   private CustomerTokenBucket.Share share(
-      CustomerPolicy customer, double byDemand, List<Heartbeat> others) {
+      CustomerPolicy customer, double byDemand, int admittedByOthers) {
     double evenFraction =
         1.0 / Math.max(fleet.knownInstances(), fleet.isListRead() ? 1 : ASSUMED_INSTANCES);
     double rateFraction = EVEN_RATE_FRACTION * evenFraction + (1 - EVEN_RATE_FRACTION) * byDemand;
@@ -154,9 +167,6 @@
     double rate = customer.requestsPerSecond();
     double burst = tolerance.toleratedBurst(rate, customer.burstRequests());
     double limitPerWindow = rate * tolerance.windowSeconds() + burst;
-    int hash = Hashes.intOf(customer.name());
-    int admittedByOthers =
-        others.stream().mapToInt(h -> h.customerAdmitted().getOrDefault(hash, 0)).sum();
     return new CustomerTokenBucket.Share(
         rate * rateFraction,
         Math.max(1, burst * DIVIDED_BURST_FRACTION * burstFraction),
--- a/core/src/main/java/org/bambooarch/core/steering/fleet/FleetTable.java
+++ b/core/src/main/java/org/bambooarch/core/steering/fleet/FleetTable.java
@@ -1,7 +1,9 @@
 package org.bambooarch.core.steering.fleet;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
@@ -51,7 +53,11 @@
   private final FormerInstances former = new FormerInstances();
   private boolean listRead;
 
+  /** The newest heartbeat of a run after which another run of the same instance was heard. */
+  private record EarlierRun(Heartbeat newest, long heardNanos) {}
+
   private static final class Peer {
+    private final Deque<EarlierRun> earlierRuns = new ArrayDeque<>();
     private InstanceIdentity identity;
     private Heartbeat newest;
     private long heardNanos;
@@ -108,6 +114,9 @@
       // A late datagram. After the silence, a lower number is a new run whose clock was set back.
       return false;
     }
+    if (peer.heard && peer.newest.sender().incarnation() != sender.incarnation()) {
+      peer.earlierRuns.addLast(new EarlierRun(peer.newest, peer.heardNanos));
+    }
     peer.identity = sender;
     peer.newest = heartbeat;
     peer.heardNanos = nowNanos;
@@ -125,6 +134,7 @@
     Iterator<Peer> iterator = peers.values().iterator();
     while (iterator.hasNext()) {
       Peer peer = iterator.next();
+      peer.earlierRuns.removeIf(run -> nowNanos - run.heardNanos() >= POSSIBLY_ALIVE_NANOS);
       if (nowNanos - lastSeenNanos(peer) > REMOVE_AFTER_NANOS) {
         iterator.remove();
         former.add(peer.identity, nowNanos);
@@ -159,6 +169,20 @@
     return heartbeatsWithin(POSSIBLY_ALIVE_NANOS, nowNanos);
   }
 
+  /**
+   * Returns the newest heartbeats of runs of the other instances after which another run of the
+   * same instance was heard, without those that are older than the given age or than {@link
+   * #POSSIBLY_ALIVE_NANOS}.
+   */
+  public List<Heartbeat> heartbeatsOfEarlierRuns(long maxAgeNanos, long nowNanos) {
+    long heardWithinNanos = Math.min(maxAgeNanos, POSSIBLY_ALIVE_NANOS);
+    return peers.values().stream()
+        .flatMap(peer -> peer.earlierRuns.stream())
+        .filter(run -> nowNanos - run.heardNanos() < heardWithinNanos)
+        .map(EarlierRun::newest)
+        .toList();
+  }
+
   /**
    * Returns the other instances that may be sending requests to servers: those that are live, that
    * may be alive behind a network partition, or that the platform has listed lately, without those
--- a/core/src/test/java/org/bambooarch/core/steering/fleet/CustomerRateLimiterTest.java
+++ b/core/src/test/java/org/bambooarch/core/steering/fleet/CustomerRateLimiterTest.java
@@ -157,6 +157,33 @@
     }
   }
 
+  // What an instance had admitted was forgotten as soon as its next run was heard.
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5})
+  void should_keep_the_rate_when_the_crowded_instance_is_killed_and_started_again(long seed) {
+    for (double rate : new double[] {5, 10, 25, 100}) {
+      for (int downSteps : new int[] {2, 10, 20, 30}) {
+        Random random = new Random(seed);
+        SimulatedFleet fleet = new SimulatedFleet(rate, rate);
+        for (int step = 0; step < 400; step++) {
+          int phase = step % 100;
+          boolean down = phase >= 60 && phase < 60 + downSteps;
+          if (phase == 60 + downSteps) {
+            fleet.restart(0);
+          }
+          fleet.tick((from, to) -> !down || (from != 0 && to != 0));
+          int requests = SimulatedFleet.poisson(random, rate * 8 * TICK_MILLIS / 1_000);
+          for (int n = 0; n < requests; n++) {
+            fleet.ask(phase < 60 ? 0 : 1 + random.nextInt(INSTANCES - 1));
+          }
+        }
+        assertThat(fleet.maxAdmittedInWindow)
+            .as("rate %s, down for %s steps", rate, downSteps)
+            .isLessThanOrEqualTo((int) fleet.maxAllowedInWindow());
+      }
+    }
+  }
+
   @Test
   void should_admit_low_priority_requests_at_a_busy_instance_when_the_customer_is_below_its_rate() {
     SimulatedFleet fleet = new SimulatedFleet(50, 50);
