--- a/gateway/src/main/java/org/bambooarch/gateway/request/ResponseBuffers.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/ResponseBuffers.java
@@ -28,7 +28,7 @@
   }
 
   /** Returns how many bytes are held. */
-  long heldBytes() {
+  public long heldBytes() {
     return heldBytes;
   }
 }
--- a/gateway/src/main/java/org/bambooarch/gateway/target/NettyTransport.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/target/NettyTransport.java
@@ -1,7 +1,9 @@
 package org.bambooarch.gateway.target;
 
+import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.epoll.Epoll;
@@ -52,6 +54,18 @@
     return Epoll.isAvailable() ? EpollSocketChannel.class : NioSocketChannel.class;
   }
 
+  /** Returns a bootstrap that opens TCP connections with {@link #socketOptions()}. */
+  static Bootstrap newBootstrap(EventLoop loop) {
+    Bootstrap bootstrap = new Bootstrap().group(loop).channel(socketChannelType());
+    socketOptions().forEach((option, value) -> set(bootstrap, option, value));
+    return bootstrap;
+  }
+
+  @SuppressWarnings("unchecked")
+  private static void set(Bootstrap bootstrap, ChannelOption<?> option, Object value) {
+    bootstrap.option((ChannelOption<Object>) option, value);
+  }
+
   /** Returns the channel type of UDP sockets. */
   public static Class<? extends Channel> datagramChannelType() {
     return Epoll.isAvailable() ? EpollDatagramChannel.class : NioDatagramChannel.class;
--- a/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnectionPool.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnectionPool.java
@@ -89,19 +89,32 @@
       Clock clock,
       int connectTimeoutMillis,
       Observer observer) {
+    this(
+        address,
+        format,
+        NettyTransport.newBootstrap(loop),
+        loop,
+        clock,
+        connectTimeoutMillis,
+        observer);
+  }
+
+  /** Creates a pool whose connections a bootstrap opens that uses the event loop. */
+  TargetConnectionPool(
+      InetSocketAddress address,
+      RequestFormat format,
+      Bootstrap bootstrap,
+      EventLoop loop,
+      Clock clock,
+      int connectTimeoutMillis,
+      Observer observer) {
     this.address = address;
     this.format = format;
     this.loop = loop;
     this.clock = clock;
     this.connectTimeoutMillis = connectTimeoutMillis;
     this.observer = observer;
-    this.bootstrap = new Bootstrap().group(loop).channel(NettyTransport.socketChannelType());
-    NettyTransport.socketOptions().forEach(this::option);
-  }
-
-  @SuppressWarnings("unchecked")
-  private void option(ChannelOption<?> option, Object value) {
-    bootstrap.option((ChannelOption<Object>) option, value);
+    this.bootstrap = bootstrap;
   }
 
   /**
--- a/gateway/src/main/java/org/bambooarch/gateway/target/TargetHttpClient.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/target/TargetHttpClient.java
@@ -1,5 +1,6 @@
 package org.bambooarch.gateway.target;
 
+import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
@@ -28,6 +29,7 @@
   private static final long COLD_START_MILLIS = 3_000;
 
   private final RequestFormat format;
+  private final Bootstrap bootstrap;
   private final EventLoop loop;
   private final Clock clock;
   private final ConnectionObserver observer;
@@ -46,6 +48,17 @@
    */
   public TargetHttpClient(
       RequestFormat format, EventLoop loop, Clock clock, ConnectionObserver observer) {
+    this(format, NettyTransport.newBootstrap(loop), loop, clock, observer);
+  }
+
+  /** Creates a client whose connections a bootstrap opens that uses the event loop. */
+  public TargetHttpClient(
+      RequestFormat format,
+      Bootstrap bootstrap,
+      EventLoop loop,
+      Clock clock,
+      ConnectionObserver observer) {
+    this.bootstrap = bootstrap;
     this.format = format;
     this.loop = loop;
     this.clock = clock;
@@ -88,7 +101,7 @@
   private TargetConnectionPool newPool(
       InetSocketAddress address, TargetConnectionPool.Observer poolObserver) {
     return new TargetConnectionPool(
-        address, format, loop, clock, CONNECT_TIMEOUT_MILLIS, poolObserver);
+        address, format, bootstrap, loop, clock, CONNECT_TIMEOUT_MILLIS, poolObserver);
   }
 
   private record ServerObserver(ServerEntry server, ConnectionObserver observer)
