End a request before anything is written to its client

Cause: the request was marked as ended after the response was written. The end of the client's connection is reported within that write, so the request ended a second time, as left by its client: the server lost a count that another request had, and looked emptier than it was from then on, and the metrics and the log had the request twice.

Now the request ends first and the response is written then, as a broken-off one was already.

--- a/gateway/src/main/java/org/bambooarch/gateway/request/ProxyExchange.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/ProxyExchange.java
@@ -356,7 +356,8 @@
   void onResponseComplete() {
     retryDecider.onAnswered();
     state.crashes().onAnswered(requestHash);
-    finish(RequestOutcome.ANSWERED, attempt.relayResponse(), "");
+    finish(RequestOutcome.ANSWERED, attempt.responseStatus(), "");
+    attempt.relayResponse();
   }
 
   /**
@@ -364,7 +365,12 @@
    */
   void onStartedFailureComplete(String cause) {
     retryDecider.onAnswered();
-    finish(RequestOutcome.SERVER_FAILURE, attempt.relayResponse(), cause);
+    passResponseOn(cause);
+  }
+
+  private void passResponseOn(String cause) {
+    finish(RequestOutcome.SERVER_FAILURE, attempt.responseStatus(), cause);
+    attempt.relayResponse();
   }
 
   /** Called when a response was truncated of which the client has a part already. */
@@ -396,7 +402,7 @@
     switch (step) {
       case SEND_ELSEWHERE -> retryOnAnotherServer();
       case REFUSE_NOT_RUN -> refuse(RequestOutcome.REJECTED, 503, DEFAULT_RETRY_AFTER_MILLIS);
-      case PASS_FAILURE_ON -> finish(RequestOutcome.SERVER_FAILURE, attempt.relayResponse(), cause);
+      case PASS_FAILURE_ON -> passResponseOn(cause);
       // OUTCOME_UNKNOWN
       default -> refuse(RequestOutcome.LOST, 502, 0);
     }
@@ -473,12 +479,14 @@
     if (finished) {
       return;
     }
-    body.stop();
     if (attempt != null && attempt.hasStartedResponse()) {
       finish(outcome, 0, "broke-off");
+      body.stop();
       attempt.abortResponse();
       return;
     }
+    finish(outcome, status, log.lastFailure());
+    body.stop();
     if (!retryDecider.mayHaveRun()) {
       customer.ifPresent(
           chargedCustomer ->
@@ -493,9 +501,12 @@
       writer.write(refusal);
     }
     writer.close();
-    finish(outcome, status, log.lastFailure());
   }
 
+  /**
+   * Ends the request. Comes before anything is written to the client, since the end of the client's
+   * connection may be reported while a write runs.
+   */
   private void finish(RequestOutcome outcome, int status, String cause) {
     finished = true;
     timeout.cancel(false);
--- a/gateway/src/main/java/org/bambooarch/gateway/request/ServerAttempt.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/ServerAttempt.java
@@ -86,12 +86,16 @@
     relay.abort();
   }
 
-  /** Relays the complete response of the server to the client; returns its HTTP status. */
-  int relayResponse() {
-    relay.onComplete();
+  /** Returns the HTTP status of the server's response. */
+  int responseStatus() {
     return responseHead.status().code();
   }
 
+  /** Relays the complete response of the server to the client. The exchange must have finished. */
+  void relayResponse() {
+    relay.onComplete();
+  }
+
   @Override
   public void onUnreachable(boolean refused) {
     if (exchange.isFinished()) {
--- a/gateway/src/test/java/org/bambooarch/gateway/bodypath/BodyPathRandomTest.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/bodypath/BodyPathRandomTest.java
@@ -5,6 +5,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Random orders of events between clients and servers; docs/design/body-path.md says what is played
@@ -31,4 +33,12 @@
 
     assertThat(failedSeeds).as(firstReport).isEmpty();
   }
+
+  // Regression: a request ended a second time when the client's connection broke while the response
+  // was written, and its server's count of own requests fell below zero.
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 6, 14, 15, 17})
+  void should_end_a_request_once_when_the_client_breaks_while_its_response_is_written(long seed) {
+    assertThat(new BodyPathRun(seed).play()).isEmpty();
+  }
 }
--- a/gateway/src/test/java/org/bambooarch/gateway/bodypath/BodyPathRun.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/bodypath/BodyPathRun.java
@@ -185,6 +185,7 @@
     }
     if (random.nextInt(6) == 0) {
       choice(1, "client leaves", client, client::leave);
+      choice(1, "client breaks at the next write", client, client::breakAtNextWrite);
     }
   }
 
