Don't pass on that a request did not run when an earlier server may have run it

A safe request whose first server failed or was lost is sent to a second one.

Cause: a long response goes to the client as soon as it exceeds the buffer, before it is known what the instance answers for all attempts together.

Such a response is now dropped as it arrives when an earlier attempt may have run the request. What follows is decided at its end, as for a short one: another server or a 502. A "not run" of the first server is still passed on when it is long, as RequestForwardingTest asks.

--- a/core/src/main/java/org/bambooarch/core/steering/RetryDecider.java
+++ b/core/src/main/java/org/bambooarch/core/steering/RetryDecider.java
@@ -85,6 +85,11 @@
     return runs > 0 || inProgress;
   }
 
+  /** Returns whether a server may have run the request in an attempt that has ended. */
+  public boolean mayHaveRunBefore() {
+    return runs > 0;
+  }
+
   /** Records the server that was chosen for an attempt; call before anything is sent to it. */
   public void onChosen(String server) {
     tried.add(server);
--- a/gateway/src/main/java/org/bambooarch/gateway/request/ProxyExchange.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/ProxyExchange.java
@@ -352,6 +352,11 @@
     }
   }
 
+  /** Returns whether a server may have run the request in an attempt before this one. */
+  boolean mayHaveRunBefore() {
+    return retryDecider.mayHaveRunBefore();
+  }
+
   /** Called when the server's response is complete and is to be relayed. */
   void onResponseComplete() {
     retryDecider.onAnswered();
--- a/gateway/src/main/java/org/bambooarch/gateway/request/ServerAttempt.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/ServerAttempt.java
@@ -155,7 +155,7 @@
     responseHead = newResponseHead;
     responseHeaders = newResponseHeaders;
     state.serverDirectives().onResponseHead(server, sentTo, responseHeaders);
-    if (!responseHeaders.genuine()) {
+    if (!responseHeaders.genuine() || deniesEarlierRun()) {
       return;
     }
     relay =
@@ -167,6 +167,15 @@
             context.responseBuffers());
   }
 
+  /**
+   * Returns whether the response states that the request did not run, which holds for this server
+   * but not for an earlier one. The client must not get it, so no part of it is kept.
+   */
+  private boolean deniesEarlierRun() {
+    boolean notRun = responseHeaders.notRun() || responseHeaders.misdirected();
+    return notRun && exchange.mayHaveRunBefore();
+  }
+
   @Override
   public void onBodyPart(ByteBuf part) {
     if (exchange.isFinished() || relay == null) {
--- a/gateway/src/test/java/org/bambooarch/gateway/bodypath/BodyPathRandomTest.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/bodypath/BodyPathRandomTest.java
@@ -41,4 +41,12 @@
   void should_end_a_request_once_when_the_client_breaks_while_its_response_is_written(long seed) {
     assertThat(new BodyPathRun(seed).play()).isEmpty();
   }
+
+  // Regression: a client was told that its request had not run, by a second server, after the first
+  // one had run it.
+  @ParameterizedTest
+  @ValueSource(longs = {4, 257, 292})
+  void should_not_pass_on_that_a_request_did_not_run_when_an_earlier_server_ran_it(long seed) {
+    assertThat(new BodyPathRun(seed).play()).isEmpty();
+  }
 }
--- a/gateway/src/test/java/org/bambooarch/gateway/bodypath/BodyPathRun.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/bodypath/BodyPathRun.java
@@ -350,6 +350,9 @@
     check(
         runs <= (order ? 1 : BodyPathWorld.MAX_SERVERS),
         "%s ran on %d servers".formatted(client.id(), runs));
+    check(
+        runs <= 0 || client.status() != 503,
+        "client %s was told that its request did not run".formatted(client.id()));
   }
 
   private void checkEnd() {
