Know the age of a request where the operating system tells it

Cause: the age of a request was the delay of the next tick. If the late tick runs before the request is read, as on a connection that is accepted in the same turn, the request counts as new; if it arrives at the end of the delay, it counts as old.

Change: while the loop is late, or was at its last tick, ArrivalEstimate asks the socket when its last data arrived (TCP_INFO, with epoll). The deadline and the refusal of what was unread for too long go by it, on the client's port and the relay port. The delay of the tick stays the estimate where nothing is told (NIO), and the lower bound for requests with a body and over HTTP/2. Not told: the head is older than the last data if another request or data of another stream has arrived behind it.

--- a/gateway/src/main/java/org/bambooarch/gateway/Gateway.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/Gateway.java
@@ -16,7 +16,10 @@
 import java.util.random.RandomGenerator;
 import org.bambooarch.core.steering.fleet.FleetTable;
 import org.bambooarch.core.time.Clock;
+import org.bambooarch.gateway.control.ArrivalEstimate;
 import org.bambooarch.gateway.control.ControlState;
+import org.bambooarch.gateway.control.CredibleDataAge;
+import org.bambooarch.gateway.control.DataAge;
 import org.bambooarch.gateway.control.PeerSocket;
 import org.bambooarch.gateway.control.RelaySelector;
 import org.bambooarch.gateway.control.StopSchedule;
@@ -36,6 +39,7 @@
 import org.bambooarch.gateway.request.ResponseBuffers;
 import org.bambooarch.gateway.spi.ControlStore;
 import org.bambooarch.gateway.spi.RequestFormat;
+import org.bambooarch.gateway.target.NettyTransport;
 import org.bambooarch.gateway.target.PartitionMonitor;
 import org.bambooarch.gateway.target.TargetHttpClient;
 import org.tinylog.Logger;
@@ -100,14 +104,23 @@
       Clock clock,
       RandomGenerator random) {
     this(
-        settings, requestFormat, directoryFormat, store, eventLoops, clock, random, state -> state);
+        settings,
+        requestFormat,
+        directoryFormat,
+        store,
+        eventLoops,
+        clock,
+        random,
+        state -> state,
+        new CredibleDataAge(NettyTransport::sinceLastDataNanos));
   }
 
   /**
-   * Creates an instance as the other constructor does, with another way to tell when requests must
-   * go through another instance.
+   * Creates an instance as the other constructor does, with other ways to tell when requests must
+   * go through another instance and since when they have been unread.
    *
    * @param relaySelectorOf returns the selector for the instance's state
+   * @param dataAge tells since when the data of connections has been here
    */
   public Gateway(
       GatewaySettings settings,
@@ -117,7 +130,8 @@
       EventLoopGroup eventLoops,
       Clock clock,
       RandomGenerator random,
-      Function<ControlState, RelaySelector> relaySelectorOf) {
+      Function<ControlState, RelaySelector> relaySelectorOf,
+      DataAge dataAge) {
     this.settings = settings;
     this.clock = clock;
     this.loop = (EventLoop) eventLoops.next();
@@ -140,6 +154,7 @@
             loop,
             metrics,
             requestLog,
+            new ArrivalEstimate(state, dataAge),
             random,
             new ResponseBuffers());
     this.proxyService = new ProxyService(context);
--- a/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
@@ -57,6 +57,9 @@
    */
   private static final long MAX_CONFIRMED_AGE_MILLIS = 1_000;
 
+  /** Delay of a tick from which on the event loop counts as late, in nanoseconds: 20 ms. */
+  private static final long LATE_NANOS = 20_000_000L;
+
   /** Time between two calls of {@link #tick()}. */
   public static final long TICK_MILLIS = 100;
 
@@ -88,6 +91,7 @@
   private volatile boolean shuttingDown;
   private Optional<StopSchedule> stopSchedule = Optional.empty();
   private long lastTickNanos;
+  private long lastTickLatenessNanos;
 
   /** Creates the state of an instance without a configuration, servers or other instances. */
   public ControlState(GatewaySettings settings, Clock clock) {
@@ -341,6 +345,7 @@
 
   /** Updates everything that depends on time. Called every {@link #TICK_MILLIS}. */
   public void tick() {
+    final long latenessNanos = eventLoopLagNanos();
     long nowNanos = clock.monotonicNanos();
     List<Heartbeat> live = fleet.liveHeartbeats(nowNanos);
     fleet.tick(nowNanos);
@@ -357,6 +362,7 @@
       keepsClosed = false;
       reopenUnlisted();
     }
+    lastTickLatenessNanos = latenessNanos;
     lastTickNanos = nowNanos;
   }
 
@@ -369,6 +375,14 @@
     return Math.max(0, sinceTickNanos - TICK_MILLIS * 1_000_000L);
   }
 
+  /**
+   * Returns whether the event loop is behind its schedule, or was at the last tick, after which it
+   * may not have read yet what arrived before.
+   */
+  public boolean isEventLoopLate() {
+    return Math.max(eventLoopLagNanos(), lastTickLatenessNanos) > LATE_NANOS;
+  }
+
   private Collection<String> services() {
     Set<String> names = new HashSet<>();
     servers.all().forEach(server -> names.add(server.entry().service()));
--- a/gateway/src/main/java/org/bambooarch/gateway/relay/RelayExchange.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/relay/RelayExchange.java
@@ -61,8 +61,13 @@
   private BufferedResponseRelay relay;
   private boolean finished;
 
-  /** Creates an exchange that has not sent anything. */
-  RelayExchange(GatewayContext context, RequestHeaders headers, HttpResponseWriter writer) {
+  /**
+   * Creates an exchange that has not sent anything.
+   *
+   * @param unreadNanos for how long the request has been unread, in nanoseconds
+   */
+  RelayExchange(
+      GatewayContext context, RequestHeaders headers, HttpResponseWriter writer, long unreadNanos) {
     this.context = context;
     this.state = context.state();
     this.headers = headers;
@@ -71,8 +76,7 @@
     this.writer = writer;
     // The other instance has checked the length.
     this.body = new ClientRequestBody(this, Long.MAX_VALUE);
-    // The request may have been unread for as long as the event loop is behind.
-    long arrivedNanos = state.clock().monotonicNanos() - state.eventLoopLagNanos();
+    long arrivedNanos = state.clock().monotonicNanos() - unreadNanos;
     this.time = RequestTime.of(arrivedNanos, relayedHeaders.timeoutMillis().orElse(0));
     this.gate = new SendGate(context.loop(), state.clock(), time, this);
     this.timeout =
--- a/gateway/src/main/java/org/bambooarch/gateway/relay/RelayService.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/relay/RelayService.java
@@ -35,9 +35,11 @@
   public HttpResponse serve(ServiceRequestContext armeriaContext, HttpRequest request) {
     HttpResponseWriter writer = HttpResponse.streaming();
     context.metrics().onRelayedRequest();
-    RelayExchange exchange = new RelayExchange(context, request.headers(), writer);
-    inFlight++;
     Channel channel = armeriaContext.log().ensureAvailable(RequestLogProperty.SESSION).channel();
+    boolean multiplexed = armeriaContext.sessionProtocol().isMultiplex();
+    long unreadNanos = context.arrivals().unreadNanos(channel, request.headers(), multiplexed);
+    RelayExchange exchange = new RelayExchange(context, request.headers(), writer, unreadNanos);
+    inFlight++;
     // Armeria reports that the other instance has disconnected a second later than the connection.
     ChannelFutureListener onClosed = closed -> exchange.onDisconnected();
     channel.closeFuture().addListener(onClosed);
--- a/gateway/src/main/java/org/bambooarch/gateway/request/GatewayContext.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/GatewayContext.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.util.random.RandomGenerator;
+import org.bambooarch.gateway.control.ArrivalEstimate;
 import org.bambooarch.gateway.control.ConfigurationCheck;
 import org.bambooarch.gateway.control.ControlState;
 import org.bambooarch.gateway.control.RelaySelector;
@@ -21,6 +22,7 @@
  * @param loop the only event loop of the instance
  * @param metrics counters and histograms of requests
  * @param requestLog rate-limited log lines about single requests
+ * @param arrivals tells since when requests have been unread
  * @param random source of random numbers
  * @param responseBuffers memory for responses
  */
@@ -33,5 +35,6 @@
     EventLoop loop,
     GatewayMetrics metrics,
     RequestEventLog requestLog,
+    ArrivalEstimate arrivals,
     RandomGenerator random,
     ResponseBuffers responseBuffers) {}
--- a/gateway/src/main/java/org/bambooarch/gateway/request/ProxyExchange.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/ProxyExchange.java
@@ -82,6 +82,7 @@
       Optional<CustomerPolicy> customer,
       HttpResponseWriter writer,
       BooleanSupplier newestOnConnection,
+      long unreadNanos,
       SteeringConfig admittedBy) {
     this.context = context;
     this.state = context.state();
@@ -97,8 +98,7 @@
     this.admittedBy = admittedBy;
     this.body = new ClientRequestBody(this, admittedBy.callerLimits().maxBodyBytes());
     this.log = new RequestLogger(context, clientHeaders, route, service, customer);
-    // The request may have been unread for as long as the event loop is behind.
-    long arrivedNanos = state.clock().monotonicNanos() - state.eventLoopLagNanos();
+    long arrivedNanos = state.clock().monotonicNanos() - unreadNanos;
     this.time = RequestTime.of(arrivedNanos, clientHeaders.timeoutMillisOn(route));
     this.gate = new SendGate(context.loop(), state.clock(), time, this);
     this.timeout =
--- a/gateway/src/main/java/org/bambooarch/gateway/request/ProxyService.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/ProxyService.java
@@ -127,15 +127,17 @@
     if (headers.contentLength() > config.callerLimits().maxBodyBytes()) {
       return refuseByConfiguration(request, clientHeaders, config, RequestOutcome.TOO_LARGE, 413);
     }
-    long lagMillis = context.state().eventLoopLagNanos() / 1_000_000L;
-    if (lagMillis * UNREAD_TIMEOUT_DIVISOR > clientHeaders.timeoutMillisOn(route.get())) {
+    long unreadNanos = unreadNanos(armeriaContext, headers);
+    long unreadMillis = unreadNanos / 1_000_000L;
+    if (unreadMillis * UNREAD_TIMEOUT_DIVISOR > clientHeaders.timeoutMillisOn(route.get())) {
       return refuse(
           request,
           clientHeaders,
           RequestOutcome.OVERLOADED,
           503,
           OVERLOADED_RETRY_MILLIS,
-          "lag-millis=" + lagMillis);
+          "unread-millis=%d lag-millis=%d"
+              .formatted(unreadMillis, context.state().eventLoopLagNanos() / 1_000_000L));
     }
     if (requiresKey) {
       long nowNanos = context.state().clock().monotonicNanos();
@@ -152,7 +154,14 @@
     }
     Optional<CustomerPolicy> chargedCustomer = requiresKey ? customer : Optional.empty();
     return startExchange(
-        armeriaContext, request, clientHeaders, route.get(), chargedCustomer, config);
+        armeriaContext, request, clientHeaders, route.get(), chargedCustomer, unreadNanos, config);
+  }
+
+  private long unreadNanos(ServiceRequestContext armeriaContext, RequestHeaders headers) {
+    return context
+        .arrivals()
+        .unreadNanos(
+            channelOf(armeriaContext), headers, armeriaContext.sessionProtocol().isMultiplex());
   }
 
   private HttpResponse startExchange(
@@ -161,6 +170,7 @@
       ClientRequestHeaders clientHeaders,
       ServiceRoute route,
       Optional<CustomerPolicy> customer,
+      long unreadNanos,
       SteeringConfig config) {
     HttpResponseWriter writer = HttpResponse.streaming();
     Channel channel = channelOf(armeriaContext);
@@ -175,6 +185,7 @@
             customer,
             writer,
             () -> connection.isNewest(number),
+            unreadNanos,
             config);
     exchanges.add(exchange);
     // Armeria reports that the client has disconnected a second later than the connection does.
--- a/gateway/src/main/java/org/bambooarch/gateway/target/NettyTransport.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/target/NettyTransport.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -17,6 +18,7 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.OptionalLong;
 
 /**
  * The Netty transport of this machine (epoll if available, else NIO), and the socket options by
@@ -39,6 +41,8 @@
    */
   private static final int KEEPALIVE_PROBES = 2;
 
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+
   private NettyTransport() {}
 
   /** Returns a new group of one event loop, for machines with one core. */
@@ -71,6 +75,21 @@
     return Epoll.isAvailable() ? EpollDatagramChannel.class : NioDatagramChannel.class;
   }
 
+  /**
+   * Returns how long ago the last data of a connection arrived, read or not, in nanoseconds, with
+   * the precision of the kernel's timer; empty with NIO, or if the kernel does not tell.
+   */
+  public static OptionalLong sinceLastDataNanos(Channel channel) {
+    if (!(channel instanceof EpollSocketChannel socket)) {
+      return OptionalLong.empty();
+    }
+    try {
+      return OptionalLong.of(socket.tcpInfo().lastDataRecv() * NANOS_PER_MILLI);
+    } catch (ChannelException e) {
+      return OptionalLong.empty();
+    }
+  }
+
   /**
    * Returns the options of TCP connections that this process opens, to servers and to the store.
    * Connections that it accepts have those of the HTTP server. The options disable Nagle's
