Log when the steps of a request happened

No further line is written, and the line is formatted only if the log's limit lets it through. When the client's close arrived is not known: TCP_INFO does not tell it once the connection is closed.

--- a/gateway/src/main/java/org/bambooarch/gateway/request/ProxyExchange.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/ProxyExchange.java
@@ -64,6 +64,7 @@
   private final ClientRequestBody body;
   private final RequestLogger log;
   private final RequestTime time;
+  private final RequestTimeline timeline;
   private final SendGate gate;
   private final ScheduledFuture<?> timeout;
   private long requestHash;
@@ -98,8 +99,9 @@
     this.admittedBy = admittedBy;
     this.body = new ClientRequestBody(this, admittedBy.callerLimits().maxBodyBytes());
     this.log = new RequestLogger(context, clientHeaders, route, service, customer);
-    long arrivedNanos = state.clock().monotonicNanos() - unreadNanos;
-    this.time = RequestTime.of(arrivedNanos, clientHeaders.timeoutMillisOn(route));
+    long readNanos = state.clock().monotonicNanos();
+    this.time = RequestTime.of(readNanos - unreadNanos, clientHeaders.timeoutMillisOn(route));
+    this.timeline = new RequestTimeline(time, readNanos);
     this.gate = new SendGate(context.loop(), state.clock(), time, this);
     this.timeout =
         context.loop().schedule(this::onDeadline, remainingNanos(), TimeUnit.NANOSECONDS);
@@ -216,6 +218,7 @@
   }
 
   private void chooseServerAndSend() {
+    timeline.onDecided(state.clock().monotonicNanos());
     if (homeRegions.excludesAll()) {
       refuse(RequestOutcome.NO_ROOM, 503, DEFAULT_RETRY_AFTER_MILLIS);
       return;
@@ -307,6 +310,7 @@
     // The attempt may have failed already.
     if (attempt == newAttempt) {
       requestHandle = newHandle;
+      timeline.onAttempt(newHandle);
     }
   }
 
@@ -339,6 +343,7 @@
   /** Called when the request is about to be written to a server; it may run from now on. */
   void onSending() {
     retryDecider.onSending();
+    timeline.onSending(attempt.sentNanos());
     if (bodyStreamed) {
       bodyUsedUp = true;
       // The head is written after this method returns, and parts of the body must follow it.
@@ -517,7 +522,13 @@
     timeout.cancel(false);
     context.metrics().onRequestFinished(outcome, elapsedNanos());
     log.onFinished(
-        outcome, status, cause, Optional.ofNullable(server), retryDecider.sends(), elapsedNanos());
+        outcome,
+        status,
+        cause,
+        Optional.ofNullable(server),
+        retryDecider.sends(),
+        elapsedNanos(),
+        timeline);
   }
 
   /** Returns whether a response that is written now is the last one on the client's connection. */
--- a/gateway/src/main/java/org/bambooarch/gateway/request/RequestLogger.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/RequestLogger.java
@@ -89,6 +89,7 @@
    * @param server the last server that was chosen, if any
    * @param sends how often the request was sent to a server, without an attempt still in progress
    * @param durationNanos time since the head of the request arrived
+   * @param timeline when its steps happened
    */
   void onFinished(
       RequestOutcome outcome,
@@ -96,7 +97,8 @@
       String cause,
       Optional<ServerState> server,
       int sends,
-      long durationNanos) {
+      long durationNanos,
+      RequestTimeline timeline) {
     boolean logged =
         outcome == RequestOutcome.ANSWERED && status < MIN_LOGGED_STATUS
             ? context.requestLog().shouldSampleAnswered()
@@ -108,8 +110,14 @@
       context
           .requestLog()
           .write(
-              "event=request-finished %s %s%s config=%d %s"
-                  .formatted(subject, ending, via, version, noRoomDetails));
+              "event=request-finished %s %s%s config=%d %s %s"
+                  .formatted(
+                      subject,
+                      ending,
+                      via,
+                      version,
+                      timeline.describe(context.state().eventLoopLagNanos()),
+                      noRoomDetails));
     }
   }
 
--- a/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnectionPool.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnectionPool.java
@@ -139,7 +139,7 @@
     newConnection.keepAliveNanos(MAX_IDLE_IDEMPOTENT_NANOS);
     long startNanos = clock.monotonicNanos();
     ChannelFuture connecting = connect(newConnection, connectTimeoutMillis);
-    handle.onConnecting(connecting);
+    handle.onConnecting(connecting, startNanos);
     loop.schedule(() -> reportIfPending(connecting), SLOW_CONNECT_MILLIS, TimeUnit.MILLISECONDS);
     connecting.addListener(
         (ChannelFutureListener)
@@ -153,6 +153,7 @@
               }
               onConnected.run();
               observer.onConnected();
+              handle.onOpened(clock.monotonicNanos());
               gate.pass(
                   () -> sendOverNew(newConnection, request, listener, handle),
                   () -> keepUnused(newConnection));
--- a/gateway/src/main/java/org/bambooarch/gateway/target/TargetRequestHandle.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/target/TargetRequestHandle.java
@@ -11,11 +11,31 @@
 public final class TargetRequestHandle {
 
   private ChannelFuture connecting;
+  private long connectingNanos;
+  private long openedNanos;
   private TargetConnection connection;
   private boolean cancelled;
 
-  void onConnecting(ChannelFuture future) {
+  void onConnecting(ChannelFuture future, long nowNanos) {
     connecting = future;
+    connectingNanos = nowNanos;
+  }
+
+  void onOpened(long nowNanos) {
+    openedNanos = nowNanos;
+  }
+
+  /**
+   * Returns the monotonic time at which a new connection was asked for, in nanoseconds; 0 if the
+   * request uses one that was kept.
+   */
+  public long connectingNanos() {
+    return connectingNanos;
+  }
+
+  /** Returns the monotonic time at which the new connection was open, in nanoseconds, or 0. */
+  public long openedNanos() {
+    return openedNanos;
   }
 
   void onConnectionReady(TargetConnection newConnection) {
