--- a/core/src/test/java/org/bambooarch/core/steering/fleet/CustomerRateLimiterTest.java
+++ b/core/src/test/java/org/bambooarch/core/steering/fleet/CustomerRateLimiterTest.java
@@ -225,6 +225,30 @@
     }
   }
 
+  // What a burst had left in the window when all ended was more than a new run assumes.
+  @Tag("known-red")
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5})
+  void should_keep_the_rate_when_all_instances_are_killed_soon_after_a_customers_burst_began(
+      long seed) {
+    for (double rate : new double[] {5, 10, 25, 100}) {
+      Random random = new Random(seed);
+      SimulatedFleet fleet = new SimulatedFleet(rate, rate);
+      for (int step = 0; step < 400; step++) {
+        int phase = step % 100;
+        if (phase == 78) {
+          fleet.nowMillis += 2_000;
+          fleet.restart();
+        }
+        fleet.tick((from, to) -> true);
+        fleet.askAnyInstance(random, phase >= 55 ? rate * 8 : rate / 2);
+      }
+      assertThat(fleet.maxAdmittedInWindow)
+          .as("rate %s", rate)
+          .isLessThanOrEqualTo((int) fleet.maxAllowedInWindow());
+    }
+  }
+
   /** Simulates a minute of requests at 1/1.6 of the rate, as much as customers usually send. */
   private static SimulatedFleet askWithinRate(double ratePerSecond, long seed) {
     Random random = new Random(seed);
