entry: refuse keys of undeclared customers for good only when up to date

Callers whose customer a newer version declares got a final 401 from an instance that had not applied that version yet.

The check of routes and keys asks since whether the view may be outdated; the admission, which refuses a key whose customer has no budget, did not. Besides, the control thread published a key before it configured the budget of its customer, so that a request between the two was refused in the same way (seen in the code, not shown by a test).

Such a refusal is 503 configuration-stale now unless the view is known to be the newest. Budgets are updated before keys, and keys before the view, as requests ask for them in the opposite order.

--- a/entry/src/main/java/org/bambooarch/entry/control/ControlLoop.java
+++ b/entry/src/main/java/org/bambooarch/entry/control/ControlLoop.java
@@ -299,11 +299,12 @@
   private void publish() {
     final FleetView before = view;
     ConfigState state = config.replicator().state();
-    OptionalLong keysFreshUntilNanos = config.replicator().keysFreshUntilNanos();
     replicationStatus = config.replicator().status();
-    // A request reads the view before its key is checked, so the keys must not be older than the
-    // view.
+    // A request reads the view, checks its key and asks for its customer's budget, in this order,
+    // so each of them must not be older than the one before.
+    budgets.update(state.version(), state.inventory());
     keyCheck.publish(state);
+    OptionalLong keysFreshUntilNanos = config.replicator().keysFreshUntilNanos();
     keysFreshUntilNanos.ifPresent(keyCheck::keepFreshUntil);
     boolean configChanged = state.version() != before.config().version();
     RouteTable routes = configChanged ? RouteTable.of(state.inventory()) : before.routes();
@@ -315,7 +316,6 @@
             keysFreshUntilNanos,
             config.replicator().keysConfirmedNanos(),
             replicationStatus.knownHeadVersion());
-    budgets.update(state.version(), state.inventory());
     routing.update(state.inventory(), instanceList.instances());
     if (configChanged) {
       Logger.info("event=configuration-in-force version={}", state.version());
--- a/entry/src/main/java/org/bambooarch/entry/request/ConfigurationRefusals.java
+++ b/entry/src/main/java/org/bambooarch/entry/request/ConfigurationRefusals.java
@@ -23,6 +23,10 @@
     return isNewest ? KeyRefusals.rejected() : stale();
   }
 
+  static NotRun customerUnknown(NotRun refusal, boolean isNewest) {
+    return isNewest ? refusal : stale();
+  }
+
   private static NotRun stale() {
     return NotRun.of(
             NotRun.Reason.CONFIGURATION_STALE,
--- a/entry/src/main/java/org/bambooarch/entry/request/ForwardService.java
+++ b/entry/src/main/java/org/bambooarch/entry/request/ForwardService.java
@@ -147,11 +147,10 @@
 
   private HttpResponse execute(CallerRequest request) {
     try {
-      Optional<NotRun> overRate =
-          services.admission().admit(request.customer(), request.deadlineNanos());
-      if (overRate.isPresent()) {
+      Optional<NotRun> notAdmitted = admit(request);
+      if (notAdmitted.isPresent()) {
         return ProblemResponses.of(
-            overRate.get(), request.requestId(), hasUncheckedEarlierSends(request));
+            notAdmitted.get(), request.requestId(), hasUncheckedEarlierSends(request));
       }
       if (!request.isIdempotent() && request.idempotencyKey().isPresent()) {
         return new RecordedRequestDispatch(services, request, request.idempotencyKey().get()).run();
@@ -173,6 +172,19 @@
     }
   }
 
+  /** Admits a request within its customer's rate; returns the refusal if that is not possible. */
+  private Optional<NotRun> admit(CallerRequest request) {
+    FleetView current = view.get();
+    return services
+        .admission()
+        .admit(request.customer(), request.deadlineNanos())
+        .map(
+            refusal ->
+                refusal.reason() == NotRun.Reason.KEY_REJECTED
+                    ? ConfigurationRefusals.customerUnknown(refusal, isNewest(current))
+                    : refusal);
+  }
+
   /**
    * Returns the response to a failure inside this instance. The request may have reached a target
    * before, so its outcome is unknown.
--- a/entry/src/test/java/org/bambooarch/entry/request/OutdatedViewTest.java
+++ b/entry/src/test/java/org/bambooarch/entry/request/OutdatedViewTest.java
@@ -167,6 +167,19 @@
     assertRefusedAsOutdated(get("/books/1"));
   }
 
+  // The same class of fault: the customer of a key may be declared by a newer version.
+  @Test
+  void should_refuse_keys_of_undeclared_customers_for_good_only_when_the_view_is_the_newest() {
+    assertThat(get("/books/1", KEY).status().code()).isEqualTo(401);
+
+    publish(config.version() + 1);
+    assertRefusedAsOutdated(get("/books/1", KEY));
+
+    publish(config.version());
+    clock.advanceMillis(OUTDATED_MILLIS);
+    assertRefusedAsOutdated(get("/books/1", KEY));
+  }
+
   @Test
   void should_refuse_as_not_run_when_the_view_was_never_confirmed() {
     view = FleetView.empty();
