Join the random run of the body path and the estimate of arrivals

The random run was written beside the estimate of a request's age, which requests now take from the context that they share; its world gives them one without an answer of the operating system.

--- a/gateway/src/main/java/org/bambooarch/gateway/control/ListWatcher.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ListWatcher.java
@@ -266,7 +266,7 @@
       onFailure(failure);
       return;
     }
-    boolean regained = !storeReachable;
+    final boolean regained = !storeReachable;
     onStoreReachable();
     if (update.storeEra() > listEra) {
       // Calls onNewEra() of all lists, this one included.
--- a/gateway/src/test/java/org/bambooarch/gateway/bodypath/BodyPathWorld.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/bodypath/BodyPathWorld.java
@@ -29,6 +29,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -44,6 +45,7 @@
 import org.bambooarch.core.steering.place.ServerState;
 import org.bambooarch.core.time.ManualClock;
 import org.bambooarch.gateway.GatewaySettings;
+import org.bambooarch.gateway.control.ArrivalEstimate;
 import org.bambooarch.gateway.control.ControlState;
 import org.bambooarch.gateway.control.RelaySelector;
 import org.bambooarch.gateway.control.StopSchedule;
@@ -121,6 +123,7 @@
             reportingLoop(),
             metrics,
             new RequestEventLog(NO_LINES, "entry-1", clock),
+            new ArrivalEstimate(state, channel -> OptionalLong.empty()),
             random,
             buffers);
     this.proxyService = new ProxyService(context);
