Tell the random run of the body path the protocol of its connections

ProxyService and RelayService ask for it since they estimate when a request arrived; the simulated context did not know it, and all ten cases of BodyPathRandomTest failed on with "serving r0-0 threw UnsupportedOperationException: RequestContext.sessionProtocol()". It is HTTP/1 now. All ten pass.

--- a/gateway/src/test/java/org/bambooarch/gateway/bodypath/BodyPathWorld.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/bodypath/BodyPathWorld.java
@@ -3,6 +3,7 @@
 import com.linecorp.armeria.common.HttpMethod;
 import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.RequestHeadersBuilder;
+import com.linecorp.armeria.common.SessionProtocol;
 import com.linecorp.armeria.common.logging.RequestLog;
 import com.linecorp.armeria.common.logging.RequestLogAccess;
 import com.linecorp.armeria.server.HttpService;
@@ -363,18 +364,20 @@
 
   /** Returns a context of the HTTP server that knows no more than the client's connection. */
   private static ServiceRequestContext contextOf(Channel connection) {
-    RequestLog log = only(RequestLog.class, "channel", connection);
-    RequestLogAccess access = only(RequestLogAccess.class, "ensureAvailable", log);
-    return only(ServiceRequestContext.class, "log", access);
+    RequestLog log = only(RequestLog.class, Map.of("channel", connection));
+    RequestLogAccess access = only(RequestLogAccess.class, Map.of("ensureAvailable", log));
+    return only(
+        ServiceRequestContext.class, Map.of("log", access, "sessionProtocol", SessionProtocol.H1C));
   }
 
-  private static <T> T only(Class<T> type, String method, Object result) {
+  private static <T> T only(Class<T> type, Map<String, Object> resultByMethod) {
     return type.cast(
         Proxy.newProxyInstance(
             type.getClassLoader(),
             new Class<?>[] {type},
             (proxy, called, arguments) -> {
-              if (!called.getName().equals(method)) {
+              Object result = resultByMethod.get(called.getName());
+              if (result == null) {
                 throw new UnsupportedOperationException(called.toString());
               }
               return result;
