Fail a request whose response is joined to one that broke off

Cause: a server that begins to repeat an earlier response and breaks off within its head, on a connection that goes on, writes for example "HTTP/1.1 200 X" or "HTTP/1.1 200 X", a line end and "server-seal: s". The decoder reads the status line of the next response as the rest of that reason phrase or header value, and takes the id, the length and the body from the next response. So the id matched, and the status was that of the broken one.

Change: a head with another status line in its reason phrase or in a header value is no valid response. The request counts as lost and the connection is closed. A line end after a complete header makes the second status line a header name, which the decoder rejects already.

--- a/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnection.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnection.java
@@ -257,6 +257,12 @@
       close();
       return;
     }
+    if (JoinedHead.matches(head)) {
+      pool.onUnsolicitedResponse();
+      failRequest("the server sent a response whose head broke off and another one behind it");
+      close();
+      return;
+    }
     if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
       return;
     }
