Close a server connection that holds bytes behind a complete response

Cause: bytes that arrive while no request is in progress close the connection, but not bytes that are read together with the end of a response. A part of another response, up to an incomplete line or body, stayed in the decoder, the connection became idle and was used again, and the next response was decoded as the rest of that part.

Change: a connection whose decoder holds bytes when a response is complete is closed and the bytes count as an unsolicited response. Netty's client codec does not tell what its decoder holds, so a response decoder of our own and Netty's request encoder take its place. The codec also counted responses to find the method that each belongs to, which an extra response shifts; the decoder gets the method of the request in progress instead.

--- a/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnection.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnection.java
@@ -51,6 +51,7 @@
   private final Clock clock;
   private final DecodingThrottle throttle = new DecodingThrottle();
   private final RequestTargetEncoder targetEncoder = new RequestTargetEncoder();
+  private final ResponseDecoder decoder = new ResponseDecoder();
   private Channel channel;
   private ReadState readState = ReadState.IDLE;
   private TargetResponseListener listener;
@@ -81,6 +82,11 @@
     return targetEncoder;
   }
 
+  /** Returns the decoder that must be between the connection and this handler. */
+  ResponseDecoder decoder() {
+    return decoder;
+  }
+
   /** Sets how long the connection may be idle until the server states its own limit. */
   void keepAliveNanos(long nanos) {
     keepAliveNanos = nanos;
@@ -122,6 +128,7 @@
     bytesBeforeResponse = 0;
     listener.onSending();
     targetEncoder.beforeHead(request.path());
+    decoder.beforeResponseTo(request.method());
     channel.writeAndFlush(request.toHttp(), channel.voidPromise());
   }
 
@@ -308,6 +315,11 @@
       failRequest("the connection was reset before the response was complete");
       return;
     }
+    if (decoder.hasUndecodedBytes()) {
+      // They belong to no request, and would be decoded as the beginning of the next response.
+      pool.onUnsolicitedResponse();
+      reusable = false;
+    }
     readState = ReadState.IDLE;
     idleSinceNanos = clock.monotonicNanos();
     final TargetResponseListener finishedListener = listener;
--- a/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnectionPool.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnectionPool.java
@@ -7,7 +7,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -48,9 +48,6 @@
   private static final long MAX_LAG_NANOS = 200_000_000L;
 
   private static final int MAX_IDLE_CONNECTIONS = 8;
-  private static final int MAX_INITIAL_LINE_BYTES = 8 * 1024;
-  private static final int MAX_HEADER_BYTES = 64 * 1024;
-  private static final int MAX_CHUNK_BYTES = 64 * 1024;
 
   /** Receives what the connections say about whether the address can be reached. */
   interface Observer {
@@ -213,9 +210,8 @@
                     .pipeline()
                     .addLast(new ReceivedBytesFilter(newConnection))
                     .addLast(newConnection.targetEncoder())
-                    .addLast(
-                        new HttpClientCodec(
-                            MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+                    .addLast(newConnection.decoder())
+                    .addLast(new HttpRequestEncoder())
                     .addLast(newConnection);
               }
             })
--- a/gateway/src/test/java/org/bambooarch/gateway/target/TargetConnectionReadingTest.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/target/TargetConnectionReadingTest.java
@@ -7,7 +7,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -78,7 +78,11 @@
     channel.freezeTime();
     channel
         .pipeline()
-        .addLast(new ReceivedBytesFilter(connection), new HttpClientCodec(), connection);
+        .addLast(
+            new ReceivedBytesFilter(connection),
+            connection.decoder(),
+            new HttpRequestEncoder(),
+            connection);
     connection.send(
         new TargetRequest(
             "GET", "/", new DefaultHttpHeaders(), "", true, Optional.of(new byte[0]), 0),
