Let a connection carry a request id once at most

Requests without an id were open to it without any repetition by the caller.

The pool takes the connection that was used last, whatever it has carried. Now each connection keeps hashes of the ids that it has carried, and a request leaves out idle connections that have carried its id; they stay for others. This holds for servers and for other instances' relay ports.

--- a/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnection.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnection.java
@@ -27,7 +27,8 @@
  * <p>A response with another request id belongs to an earlier request and is skipped. If requests
  * and responses may no longer match (after such a response, after bytes that arrive while no
  * request is in progress, or after a response that begins before the request was sent in full), the
- * connection is not reused for another request.
+ * connection is not reused for another request. It carries a request id once at most, since a
+ * second response to an earlier attempt could not be told from the response to a later one.
  *
  * <p>Used on the event loop only.
  */
@@ -52,6 +53,7 @@
   private final DecodingThrottle throttle = new DecodingThrottle();
   private final RequestTargetEncoder targetEncoder = new RequestTargetEncoder();
   private final ResponseDecoder decoder = new ResponseDecoder();
+  private final CarriedRequestIds carriedRequestIds = new CarriedRequestIds();
   private Channel channel;
   private ReadState readState = ReadState.IDLE;
   private TargetResponseListener listener;
@@ -102,6 +104,11 @@
     return channel.isActive() && reusable && idleNanos < Math.min(maxIdleNanos, keepAliveNanos);
   }
 
+  /** Returns whether a request with this id must use another connection. */
+  boolean hasCarried(String otherRequestId) {
+    return carriedRequestIds.contains(otherRequestId);
+  }
+
   /** Returns whether a request can be sent, which bytes that came before it prevent. */
   boolean isOpen() {
     return channel.isActive() && reusable;
@@ -123,6 +130,10 @@
   void send(TargetRequest request, TargetResponseListener newListener) {
     listener = newListener;
     requestId = request.requestId();
+    carriedRequestIds.add(requestId);
+    if (carriedRequestIds.isFull()) {
+      reusable = false;
+    }
     requestComplete = request.body().isPresent();
     readState = ReadState.HEAD;
     bytesBeforeResponse = 0;
--- a/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnectionPool.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnectionPool.java
@@ -12,6 +12,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Iterator;
 import java.util.concurrent.TimeUnit;
 import org.bambooarch.core.time.Clock;
 import org.bambooarch.gateway.spi.RequestFormat;
@@ -115,7 +116,8 @@
   }
 
   /**
-   * Sends a request over an idle connection or, if none is usable, over a new one.
+   * Sends a request over an idle connection that has not carried its id or, if none is usable, over
+   * a new one.
    *
    * @param gate asked again when a new connection is open; an idle one is used at once
    * @param onConnected called when a new connection is open, also if the request was cancelled
@@ -126,7 +128,7 @@
       TargetResponseListener listener,
       TargetRequestHandle handle,
       Runnable onConnected) {
-    TargetConnection idleConnection = pollIdle(request.idempotent());
+    TargetConnection idleConnection = pollIdle(request);
     if (idleConnection != null) {
       handle.onConnectionReady(idleConnection);
       idleConnection.send(request, listener);
@@ -240,16 +242,23 @@
         && !(cause instanceof io.netty.channel.ConnectTimeoutException);
   }
 
-  private TargetConnection pollIdle(boolean idempotent) {
+  private TargetConnection pollIdle(TargetRequest request) {
     boolean newConnectionsOnly =
         sawUnsolicitedResponse && clock.monotonicNanos() - newConnectionsOnlyUntilNanos < 0;
-    long maxIdleNanos = idempotent ? MAX_IDLE_IDEMPOTENT_NANOS : MAX_IDLE_NON_IDEMPOTENT_NANOS;
-    while (!idleConnections.isEmpty()) {
-      if (newConnectionsOnly && !idempotent) {
-        return null;
+    if (newConnectionsOnly && !request.idempotent()) {
+      return null;
+    }
+    long maxIdleNanos =
+        request.idempotent() ? MAX_IDLE_IDEMPOTENT_NANOS : MAX_IDLE_NON_IDEMPOTENT_NANOS;
+    Iterator<TargetConnection> newestFirst = idleConnections.descendingIterator();
+    while (newestFirst.hasNext()) {
+      TargetConnection connection = newestFirst.next();
+      boolean usable = connection.isUsable(maxIdleNanos);
+      if (usable && connection.hasCarried(request.requestId())) {
+        continue;
       }
-      TargetConnection connection = idleConnections.pollLast();
-      if (connection.isUsable(maxIdleNanos)) {
+      newestFirst.remove();
+      if (usable) {
         return connection;
       }
       connection.close();
