Play clients that repeat ids and servers that repeat answers

A second run of each seed reuses ids of earlier clients and writes the answer to an earlier request once more, while the server works on the next one. Requests and their own answers name the attempt, by which the client tells them apart. The first run of each seed is unchanged, and so are the seeds of regressions.

--- a/gateway/src/test/java/org/bambooarch/gateway/bodypath/BodyPathRandomTest.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/bodypath/BodyPathRandomTest.java
@@ -4,6 +4,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.LongFunction;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -18,11 +19,23 @@
 
   @Test
   void should_end_every_request_once_in_any_order_of_events() {
+    expectNoViolations(BodyPathRun::new);
+  }
+
+  // Regression: a second answer to an earlier attempt was taken for that to a later one with its
+  // id.
+  @Test
+  void
+      should_pass_on_the_own_answer_of_every_attempt_when_clients_repeat_ids_and_servers_answers() {
+    expectNoViolations(BodyPathRun::withRepeatedIds);
+  }
+
+  private static void expectNoViolations(LongFunction<BodyPathRun> runOf) {
     String[] range = System.getProperty("bodypath.seeds", DEFAULT_SEEDS).split("-", 2);
     List<Long> failedSeeds = new ArrayList<>();
     String firstReport = "";
     for (long seed = Long.parseLong(range[0]); seed <= Long.parseLong(range[1]); seed++) {
-      String report = new BodyPathRun(seed).play().orElse("");
+      String report = runOf.apply(seed).play().orElse("");
       if (firstReport.isEmpty()) {
         firstReport = report;
       }
--- a/gateway/src/test/java/org/bambooarch/gateway/bodypath/BodyPathRun.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/bodypath/BodyPathRun.java
@@ -52,6 +52,11 @@
 
   private final long seed;
   private final Random random;
+
+  /** Decides which ids and answers come again; the seeds of other runs don't depend on it. */
+  private final Optional<Random> repetitions;
+
+  private final List<String> usedIds = new ArrayList<>();
   private final BodyPathWorld world;
   private final Deque<String> trace = new ArrayDeque<>();
   private final List<SimulatedClient> clients = new ArrayList<>();
@@ -59,12 +64,26 @@
   private int round;
   private boolean stopping;
 
+  /** Creates a run in which each client has an id of its own. */
   BodyPathRun(long seed) {
+    this(seed, Optional.empty());
+  }
+
+  private BodyPathRun(long seed, Optional<Random> repetitions) {
     this.seed = seed;
+    this.repetitions = repetitions;
     this.random = new Random(seed);
     this.world = new BodyPathWorld(new Random(seed));
   }
 
+  /**
+   * Creates a run in which clients try again with an id that others had, and servers repeat the
+   * answer to an earlier request while they work on the next one.
+   */
+  static BodyPathRun withRepeatedIds(long seed) {
+    return new BodyPathRun(seed, Optional.of(new Random(~seed)));
+  }
+
   /** Plays the run; returns what was found, or empty if all checks held. */
   Optional<String> play() {
     try (world) {
@@ -118,14 +137,23 @@
     long bodyBytes = BODY_BYTES[random.nextInt(BODY_BYTES.length)];
     boolean framed = random.nextBoolean() && bodyBytes <= BodyPathWorld.MAX_BODY_BYTES;
     long timeout = 200 + random.nextInt(1_800);
-    event("start %s order=%b relayed=%b body=%d", id, order, relayed, bodyBytes);
-    SimulatedClient client = world.start(id, order, relayed, bodyBytes, framed, timeout);
+    String requestId = chooseRequestId(id);
+    event("start %s as %s order=%b relayed=%b body=%d", id, requestId, order, relayed, bodyBytes);
+    SimulatedClient client = world.start(id, requestId, order, relayed, bodyBytes, framed, timeout);
     clients.add(client);
     if (bodyBytes == 0) {
       client.sendPart(1);
     }
   }
 
+  private String chooseRequestId(String unusedId) {
+    if (repetitions.isPresent() && !usedIds.isEmpty() && repetitions.get().nextInt(3) > 0) {
+      return usedIds.get(repetitions.get().nextInt(usedIds.size()));
+    }
+    usedIds.add(unusedId);
+    return unusedId;
+  }
+
   private void event(String format, Object... arguments) {
     trace.addLast(format.formatted(arguments));
     if (trace.size() > TRACED_EVENTS) {
@@ -215,6 +243,9 @@
       choice(8, "server sends " + bytes, link, () -> link.sendParts(bytes, 1));
       choice(1, "server sends tiny parts", link, () -> link.sendParts(1, 2_000));
     }
+    if (repetitions.isPresent() && link.awaitsHead() && link.hasEarlierAnswer()) {
+      choice(2, "repeat earlier answer", link, link::repeatEarlierAnswer);
+    }
     if (random.nextInt(10) > 0) {
       return;
     }
--- a/gateway/src/test/java/org/bambooarch/gateway/bodypath/BodyPathWorld.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/bodypath/BodyPathWorld.java
@@ -328,17 +328,26 @@
   /**
    * Starts a request.
    *
+   * @param id name of this attempt
+   * @param requestId id of the request, which several attempts may have
    * @param order whether it may run once only
    * @param relayed whether it comes from another instance, which has chosen the server
    * @param framed whether the head states the length of the body
    */
   SimulatedClient start(
-      String id, boolean order, boolean relayed, long bodyBytes, boolean framed, long timeout) {
+      String id,
+      String requestId,
+      boolean order,
+      boolean relayed,
+      long bodyBytes,
+      boolean framed,
+      long timeout) {
     RequestHeadersBuilder headers =
         RequestHeaders.builder(
             bodyBytes > 0 ? HttpMethod.POST : HttpMethod.GET, (order ? "/order/" : "/safe/") + id);
     headers.authority("h").scheme("http");
-    headers.set(PlainFormat.ID, id).set(PlainFormat.LENGTH, Long.toString(bodyBytes));
+    headers.set(PlainFormat.ID, requestId).set(PlainFormat.ATTEMPT, id);
+    headers.set(PlainFormat.LENGTH, Long.toString(bodyBytes));
     headers.set(PlainFormat.TIMEOUT, Long.toString(timeout));
     if (framed && bodyBytes > 0) {
       headers.contentLength(bodyBytes);
--- a/gateway/src/test/java/org/bambooarch/gateway/bodypath/PlainFormat.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/bodypath/PlainFormat.java
@@ -22,6 +22,9 @@
   /** Id of a request, which its response repeats. */
   static final String ID = "id";
 
+  /** Names one attempt of a client, among those with its id; its own response repeats it. */
+  static final String ATTEMPT = "attempt";
+
   /** Length of the whole body in bytes, however it is framed. */
   static final String LENGTH = "whole-length";
 
@@ -53,6 +56,7 @@
   public HttpHeaders toServerRequest(RequestHeaders relayed, long timeoutMillis) {
     HttpHeaders headers = new DefaultHttpHeaders();
     headers.set(ID, relayed.get(ID));
+    headers.set(ATTEMPT, relayed.get(ATTEMPT));
     headers.set(LENGTH, relayed.get(LENGTH));
     headers.set(TIMEOUT, timeoutMillis);
     return headers;
@@ -86,6 +90,7 @@
     ResponseHeadersBuilder builder =
         ResponseHeaders.builder(HttpStatus.valueOf(head.status().code()));
     copy(head, builder, ID);
+    copy(head, builder, ATTEMPT);
     copy(head, builder, LENGTH);
     copy(head, builder, "content-length");
     return builder.build();
--- a/gateway/src/test/java/org/bambooarch/gateway/bodypath/SimulatedClient.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/bodypath/SimulatedClient.java
@@ -28,6 +28,7 @@
 
   private final EventLoop loop;
   private final String id;
+  private final String requestId;
   private final long bodyBytes;
   private final Channel channel;
   private final HttpRequestWriter request;
@@ -46,13 +47,15 @@
   SimulatedClient(
       EventLoop loop, Channel channel, RequestHeaders headers, Consumer<String> violations) {
     this.loop = loop;
-    this.id = headers.get(PlainFormat.ID);
+    this.id = headers.get(PlainFormat.ATTEMPT);
+    this.requestId = headers.get(PlainFormat.ID);
     this.bodyBytes = headers.getLong(PlainFormat.LENGTH, 0);
     this.channel = channel;
     this.request = HttpRequest.streaming(headers);
     this.violations = violations;
   }
 
+  /** Returns the name of this attempt, which no other client has. */
   String id() {
     return id;
   }
@@ -176,7 +179,9 @@
     }
     if (object instanceof ResponseHeaders headers) {
       require(head == null, "a second head");
-      require(headers.get(PlainFormat.ID).equals(id), "the response of " + headers);
+      require(headers.get(PlainFormat.ID).equals(requestId), "the response of " + headers);
+      // A refusal of the instance itself names no attempt.
+      require(headers.get(PlainFormat.ATTEMPT, id).equals(id), "the response of " + headers);
       head = headers;
     } else if (object instanceof HttpData data) {
       require(head != null, "a body without a head");
--- a/gateway/src/test/java/org/bambooarch/gateway/bodypath/SimulatedLink.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/bodypath/SimulatedLink.java
@@ -39,7 +39,10 @@
   private boolean connectsAtOnce;
   private boolean finSent;
   private boolean closeDelimited;
+  private String earlierAnswer = "";
+  private String lastAnswer = "";
 
+  private String idOnWire = "";
   private String requestId = "";
   private String lastRequestId = "";
   private String says = "";
@@ -124,7 +127,9 @@
   }
 
   private void onHead(HttpRequest head) {
-    requestId = head.headers().get(PlainFormat.ID, "");
+    earlierAnswer = lastAnswer;
+    idOnWire = head.headers().get(PlainFormat.ID, "");
+    requestId = head.headers().get(PlainFormat.ATTEMPT, "");
     wholeRequestBytes = Long.parseLong(head.headers().get(PlainFormat.LENGTH, "0"));
     lastRequestId = requestId;
     says = "";
@@ -194,8 +199,10 @@
     chunked = framing.equals("chunked");
     closeDelimited = framing.equals("close");
     wholeResponseBytes = wholeBytes;
-    String head = "HTTP/1.1 %d x\r\nid: %s\r\n".formatted(status, requestId);
+    String head =
+        "HTTP/1.1 %d x\r\nid: %s\r\nattempt: %s\r\n".formatted(status, idOnWire, requestId);
     head += says.isEmpty() ? "" : PlainFormat.SAYS + ": " + says + "\r\n";
+    lastAnswer = head + extra + PlainFormat.LENGTH + ": 0\r\ncontent-length: 0\r\n\r\n";
     if (!closeDelimited) {
       head += PlainFormat.LENGTH + ": " + wholeBytes + "\r\n";
       head += chunked ? "transfer-encoding: chunked\r\n" : "content-length: " + wholeBytes + "\r\n";
@@ -231,6 +238,16 @@
     write(out, payload);
   }
 
+  /** Returns whether the server has answered a request before the one that arrived last. */
+  boolean hasEarlierAnswer() {
+    return !earlierAnswer.isEmpty();
+  }
+
+  /** Writes the answer to the request before the last one once more, without its body. */
+  void repeatEarlierAnswer() {
+    sendOther(earlierAnswer);
+  }
+
   /** Writes bytes that belong to no response in progress. */
   void sendOther(String text) {
     write(bytes(text), 0);
