Let the warm-up bind its ports and never end a start

The one log that was kept shows a NullPointerException of Gateway.closeAsync, called from WarmUp.runRequests.

The warm-up looked for free ports and bound them later, so another process could take one. The start then failed; closing the gateway that had started in part failed again and hid the first cause. WarmUp.run caught IOException only, although Netty throws others. That another process took a port is read in the code; no run has shown it.

Port 0 in the settings now stands for any free port, which the gateway asks for after it is bound. Gateway.start throws an IOException that names what could not be bound and leaves nothing open; closing works at any point. The warm-up logs the first cause and each failure to close.

--- a/cli/src/main/java/org/bambooarch/cli/CommandErrors.java
+++ b/cli/src/main/java/org/bambooarch/cli/CommandErrors.java
@@ -1,5 +1,6 @@
 package org.bambooarch.cli;
 
+import java.io.IOException;
 import java.net.BindException;
 import java.nio.file.Path;
 import java.util.List;
@@ -66,6 +67,22 @@
         cause);
   }
 
+  /**
+   * An instance cannot listen.
+   *
+   * @param cause exception whose message names the address
+   */
+  public static CommandException instanceCannotListen(String instance, IOException cause) {
+    return new CommandException(
+        ExitCode.CANNOT_LISTEN,
+        "instance "
+            + instance
+            + " cannot listen ("
+            + cause.getMessage()
+            + "); free the port or choose another one",
+        cause);
+  }
+
   /** Neither {@code --settings} nor the environment variable names a settings file. */
   public static CommandException settingsFileNotGiven(String variable) {
     return new CommandException(
--- a/cli/src/main/java/org/bambooarch/cli/command/GatewayCommand.java
+++ b/cli/src/main/java/org/bambooarch/cli/command/GatewayCommand.java
@@ -61,7 +61,7 @@
     PlatformSettings settings = readSettings(file);
     Gateway gateway = PlatformGatewayFactory.create(settings);
     Signal.handle(RELOAD, signal -> gateway.reload());
-    gateway.start();
+    start(gateway, settings);
     StopSignals signals = StopSignals.install(() -> {});
     signals.await();
     gateway.stopGracefully().join();
@@ -69,6 +69,15 @@
     return ExitCode.DONE;
   }
 
+  private static void start(Gateway gateway, PlatformSettings settings) throws CommandException {
+    try {
+      gateway.start();
+    } catch (IOException e) {
+      gateway.close();
+      throw CommandErrors.instanceCannotListen(settings.gateway().identity().name(), e);
+    }
+  }
+
   private static Path settingsFile(OptionSet options) throws CommandException {
     if (options.has(Arguments.SETTINGS)) {
       return Path.of((String) options.valueOf(Arguments.SETTINGS));
--- a/cli/src/test/java/org/bambooarch/cli/command/GatewayCommandTest.java
+++ b/cli/src/test/java/org/bambooarch/cli/command/GatewayCommandTest.java
@@ -3,11 +3,17 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import java.io.IOException;
 import java.io.PrintStream;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import joptsimple.OptionParser;
 import org.bambooarch.cli.CommandException;
 import org.bambooarch.cli.Console;
+import org.bambooarch.cli.ExitCode;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import sun.misc.Signal;
@@ -46,4 +52,40 @@
       Signal.handle(RELOAD, original);
     }
   }
+
+  private static String settings(InetSocketAddress taken) {
+    return """
+        {"self": {"node": "entry-1", "ip": "127.0.0.1", "zone": "north-a", "region": "north"},
+         "network": {"listen": {"front": "127.0.0.1:1", "ready": "127.0.0.1:2",
+            "directory": "127.0.0.1:3"}, "internal-ports": [%d], "zones": {"north-a": "north"}},
+         "platform": {"platform": {"addr": "127.0.0.1:1"}},
+         "terms": {"bounds": {}}}
+        """
+        .formatted(taken.getPort());
+  }
+
+  // Regression: a port in use ended the process with a stack trace and exit code 1.
+  @Test
+  void should_name_the_address_when_a_port_is_in_use(@TempDir Path folder) throws IOException {
+    InetAddress loopback = InetAddress.getLoopbackAddress();
+    Path file = folder.resolve("settings.json");
+    GatewayCommand command = new GatewayCommand();
+    OptionParser parser = new OptionParser();
+    command.declareOptions(parser);
+    SignalHandler original = Signal.handle(RELOAD, SignalHandler.SIG_IGN);
+    PrintStream out = System.out;
+    try (DatagramSocket taken = new DatagramSocket(new InetSocketAddress(loopback, 0))) {
+      Files.writeString(file, settings((InetSocketAddress) taken.getLocalSocketAddress()));
+
+      assertThatThrownBy(
+              () -> command.run(parser.parse("--settings", file.toString()), Console.ofProcess()))
+          .isInstanceOfSatisfying(
+              CommandException.class,
+              e -> assertThat(e.exitCode()).isEqualTo(ExitCode.CANNOT_LISTEN))
+          .hasMessageContaining("127.0.0.1:" + taken.getLocalPort());
+    } finally {
+      System.setOut(out);
+      Signal.handle(RELOAD, original);
+    }
+  }
 }
--- a/gateway/src/main/java/org/bambooarch/gateway/Gateway.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/Gateway.java
@@ -5,12 +5,15 @@
 import com.linecorp.armeria.common.MediaType;
 import com.linecorp.armeria.server.Server;
 import com.linecorp.armeria.server.ServerBuilder;
+import com.linecorp.armeria.server.ServerPort;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.Map;
+import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.random.RandomGenerator;
@@ -78,9 +81,10 @@
   private final RelayService relayService;
   private final GatewayMetrics metrics = new GatewayMetrics();
   private final RequestEventLog requestLog;
+  private final PortRouter router;
   private final Server server;
   private final CompletableFuture<Void> stopped = new CompletableFuture<>();
-  private PeerSocket peerSocket;
+  private volatile Optional<PeerSocket> peerSocket = Optional.empty();
   private long lastHeartbeatNanos;
   private boolean refusedUnsent;
 
@@ -159,27 +163,28 @@
             new ResponseBuffers());
     this.proxyService = new ProxyService(context);
     this.relayService = new RelayService(context);
-    this.server = server(directoryFormat, eventLoops);
+    this.router = router(directoryFormat);
+    this.server = server(eventLoops);
     this.lastHeartbeatNanos = clock.monotonicNanos();
     registerGauges();
   }
 
-  private Server server(DirectoryFormat directoryFormat, EventLoopGroup eventLoops) {
-    PortRouter router =
-        new PortRouter(
-            Map.of(
-                settings.clientAddress().getPort(),
-                proxyService,
-                settings.readinessAddress().getPort(),
-                new ReadinessService(state, directoryFormat),
-                settings.directoryAddress().getPort(),
-                new DirectoryService(state, directoryFormat, settings.lookupTtlMillis()),
-                settings.metricsAddress().getPort(),
-                (context, request) -> metricsPage(),
-                settings.peerAddress().getPort(),
-                relayService));
+  private PortRouter router(DirectoryFormat directoryFormat) {
+    return new PortRouter(
+        List.of(
+            new PortRouter.Listener(settings.clientAddress(), proxyService),
+            new PortRouter.Listener(
+                settings.readinessAddress(), new ReadinessService(state, directoryFormat)),
+            new PortRouter.Listener(
+                settings.directoryAddress(),
+                new DirectoryService(state, directoryFormat, settings.lookupTtlMillis())),
+            new PortRouter.Listener(settings.metricsAddress(), (context, request) -> metricsPage()),
+            new PortRouter.Listener(settings.peerAddress(), relayService)));
+  }
+
+  private Server server(EventLoopGroup eventLoops) {
     ServerBuilder builder = Server.builder();
-    for (InetSocketAddress address : router.addresses(settings)) {
+    for (InetSocketAddress address : router.addresses()) {
       builder.http(address);
     }
     return builder
@@ -232,11 +237,24 @@
   /**
    * Starts to listen, to watch the store and to exchange heartbeats with other instances. Returns
    * when all ports are bound; the instance is ready once it has a configuration and the list of
-   * servers.
+   * servers. After a failure, nothing listens.
+   *
+   * @throws IOException if an address cannot be listened on
    */
-  public void start() {
-    peerSocket = PeerSocket.bind(state, settings.peerAddress(), loop);
-    server.start().join();
+  public void start() throws IOException {
+    PeerSocket socket = PeerSocket.bind(state, settings.peerAddress(), loop);
+    try {
+      server.start().join();
+    } catch (CompletionException e) {
+      socket.close();
+      throw new IOException(e.getCause().getMessage(), e.getCause());
+    }
+    peerSocket = Optional.of(socket);
+    router.setBoundPorts(
+        server.activePorts().values().stream()
+            .map(ServerPort::localAddress)
+            .map(InetSocketAddress::getPort)
+            .toList());
     loop.execute(storeSynchronizer::start);
     loop.scheduleWithFixedDelay(
         this::tick, ControlState.TICK_MILLIS, ControlState.TICK_MILLIS, TimeUnit.MILLISECONDS);
@@ -248,6 +266,14 @@
         settings.identity().callersAddress());
   }
 
+  /**
+   * Returns the address that accepts requests of clients, once {@link #start()} has returned: with
+   * the port that was bound where the settings name port 0.
+   */
+  public InetSocketAddress clientAddress() {
+    return server.activePorts().values().iterator().next().localAddress();
+  }
+
   private void tick() {
     try {
       state.tick();
@@ -268,7 +294,7 @@
 
   private void sendHeartbeats(long nowNanos) {
     lastHeartbeatNanos = nowNanos;
-    peerSocket.sendHeartbeats();
+    peerSocket.ifPresent(PeerSocket::sendHeartbeats);
   }
 
   private void onPartitionVerdictChanged() {
@@ -307,7 +333,7 @@
     Logger.info("event=stopping in-flight={}", inFlight());
     StopSchedule schedule = StopSchedule.from(clock.monotonicNanos(), settings.graceMillis());
     state.beginShutdown(schedule);
-    peerSocket.sendHeartbeats();
+    peerSocket.ifPresent(PeerSocket::sendHeartbeats);
     storeSynchronizer.stop();
     loop.scheduleWithFixedDelay(
         () -> pollStop(schedule), STOP_POLL_MILLIS, STOP_POLL_MILLIS, TimeUnit.MILLISECONDS);
@@ -364,7 +390,7 @@
                 });
     loop.submit(storeSynchronizer::stop).syncUninterruptibly();
     loop.submit(targetClient::close).syncUninterruptibly();
-    peerSocket.close();
+    peerSocket.ifPresent(PeerSocket::close);
     return serverStopped;
   }
 }
--- a/gateway/src/main/java/org/bambooarch/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/GatewaySettings.java
@@ -6,7 +6,7 @@
 import org.bambooarch.core.steering.fleet.QuotaTolerance;
 
 /**
- * Settings of one entry instance.
+ * Settings of one entry instance. Port 0 in an address to listen on stands for any free port.
  *
  * @param identity name, incarnation and location of the instance
  * @param clientAddress TCP address that accepts requests of clients
--- a/gateway/src/main/java/org/bambooarch/gateway/control/PeerSocket.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/PeerSocket.java
@@ -6,10 +6,12 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import org.bambooarch.core.steering.fleet.InstanceIdentity;
 import org.bambooarch.gateway.target.NettyTransport;
@@ -31,17 +33,24 @@
     this.channel = channel;
   }
 
-  /** Binds the socket to a UDP address and starts to receive; blocks until it is bound. */
-  public static PeerSocket bind(ControlState state, InetSocketAddress address, EventLoop loop) {
-    Channel channel =
+  /**
+   * Binds the socket to a UDP address and starts to receive; blocks until it is bound.
+   *
+   * @throws IOException if the address cannot be bound; the message names it
+   */
+  public static PeerSocket bind(ControlState state, InetSocketAddress address, EventLoop loop)
+      throws IOException {
+    ChannelFuture bound =
         new Bootstrap()
             .group(loop)
             .channel(NettyTransport.datagramChannelType())
             .handler(new Receiver(state))
             .bind(address)
-            .syncUninterruptibly()
-            .channel();
-    return new PeerSocket(state, channel);
+            .awaitUninterruptibly();
+    if (!bound.isSuccess()) {
+      throw new IOException("UDP " + address + ": " + bound.cause().getMessage(), bound.cause());
+    }
+    return new PeerSocket(state, bound.channel());
   }
 
   /** Sends a heartbeat to every known instance. Called on the event loop only. */
--- a/gateway/src/main/java/org/bambooarch/gateway/endpoint/PortRouter.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/endpoint/PortRouter.java
@@ -7,11 +7,9 @@
 import com.linecorp.armeria.server.HttpService;
 import com.linecorp.armeria.server.ServiceRequestContext;
 import java.net.InetSocketAddress;
-import java.util.LinkedHashSet;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
-import org.bambooarch.gateway.GatewaySettings;
 
 /**
  * Routes each request, with the URI that the client sent, to the service of the local port on which
@@ -19,11 +17,34 @@
  */
 public final class PortRouter implements HttpService {
 
-  private final Map<Integer, HttpService> servicesByPort;
+  /**
+   * The service of one address.
+   *
+   * @param address TCP address to listen on; port 0 stands for any free port
+   * @param service service of the requests that arrive there
+   */
+  public record Listener(InetSocketAddress address, HttpService service) {}
 
-  /** Creates a router; requests on ports that are not in the map get a 404 response. */
-  public PortRouter(Map<Integer, HttpService> servicesByPort) {
-    this.servicesByPort = Map.copyOf(servicesByPort);
+  private final List<Listener> listeners;
+  private volatile Map<Integer, HttpService> servicesByPort;
+
+  /** Creates a router; requests on other ports get a 404 response. */
+  public PortRouter(List<Listener> listeners) {
+    this.listeners = List.copyOf(listeners);
+    Map<Integer, HttpService> services = new HashMap<>();
+    for (Listener listener : listeners) {
+      services.put(listener.address().getPort(), listener.service());
+    }
+    this.servicesByPort = Map.copyOf(services);
+  }
+
+  /** Sets the ports that are bound, in the order of {@link #addresses()}. */
+  public void setBoundPorts(List<Integer> ports) {
+    Map<Integer, HttpService> services = new HashMap<>();
+    for (int i = 0; i < ports.size(); i++) {
+      services.put(ports.get(i), listeners.get(i).service());
+    }
+    servicesByPort = Map.copyOf(services);
   }
 
   @Override
@@ -41,14 +62,8 @@
         : RawRequestUri.restore(request.headers());
   }
 
-  /** Returns the TCP addresses to listen on, in a fixed order and without duplicates. */
-  public Set<InetSocketAddress> addresses(GatewaySettings settings) {
-    return new LinkedHashSet<>(
-        List.of(
-            settings.clientAddress(),
-            settings.readinessAddress(),
-            settings.directoryAddress(),
-            settings.metricsAddress(),
-            settings.peerAddress()));
+  /** Returns the TCP addresses to listen on, in a fixed order. */
+  public List<InetSocketAddress> addresses() {
+    return listeners.stream().map(Listener::address).toList();
   }
 }
--- a/gateway/src/main/java/org/bambooarch/gateway/warmup/WarmUp.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/warmup/WarmUp.java
@@ -16,12 +16,11 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.bambooarch.core.steering.fleet.InstanceIdentity;
 import org.bambooarch.core.steering.fleet.QuotaTolerance;
@@ -45,7 +44,11 @@
   private static final int ROUNDS = 5;
 
   private static final int REQUESTS_PER_ROUND = 8;
-  private static final int PORT_COUNT = 5;
+
+  /** A loopback address whose port the system chooses when it is bound. */
+  private static final InetSocketAddress ANY_PORT =
+      new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
   private final RequestFormat requestFormat;
@@ -75,53 +78,81 @@
   public CompletableFuture<Void> run() {
     try {
       return runRequests();
-    } catch (IOException e) {
+    } catch (IOException | RuntimeException e) {
       logFailure(e);
       return CompletableFuture.completedFuture(null);
     }
   }
 
-  private static void logFailure(Exception cause) {
+  private static Void logFailure(Throwable cause) {
     Logger.warn("event=rehearsal-failed reason=\"warm-up incomplete: {}\"", cause.toString());
+    return null;
   }
 
   private CompletableFuture<Void> runRequests() throws IOException {
-    long startedNanos = clock.monotonicNanos();
-    int[] ports = freePorts();
     Server server =
         Server.builder()
-            .http(address(0))
+            .http(ANY_PORT)
             .workerGroup(eventLoops, false)
             .service("prefix:/", (context, request) -> notFound(request))
             .build();
-    server.start().join();
+    Closing closing = new Closing();
+    closing.add(server::closeAsync);
+    try {
+      server.start().join();
+      runRequests(server.activeLocalPort(), closing);
+    } catch (IOException | RuntimeException e) {
+      // Closing may fail as well, and must not hide the first cause.
+      logFailure(e);
+    }
+    return closing.closeAll();
+  }
+
+  private void runRequests(int serverPort, Closing closing) throws IOException {
+    final long startedNanos = clock.monotonicNanos();
     Gateway gateway =
         new Gateway(
-            settings(ports),
+            settings(),
             new WarmUpFormat(requestFormat),
             directoryFormat,
-            new WarmUpStore(server.activeLocalPort()),
+            new WarmUpStore(serverPort),
             eventLoops,
             clock,
             RandomGenerator.of("L64X128MixRandom"));
+    closing.add(gateway::closeAsync);
     ClientFactory clientFactory = ClientFactory.builder().workerGroup(eventLoops, false).build();
-    CompletableFuture<Void> closed;
-    try {
-      gateway.start();
-      int answered =
-          send(WebClient.builder("h1c://127.0.0.1:" + ports[0]).factory(clientFactory).build());
-      Logger.info(
-          "event=rehearsed answered={} took-millis={}",
-          answered,
-          (clock.monotonicNanos() - startedNanos) / NANOS_PER_MILLI);
-    } catch (CompletionException e) {
-      logFailure(e);
-    } finally {
-      closed =
-          CompletableFuture.allOf(
-              gateway.closeAsync(), clientFactory.closeAsync(), server.closeAsync());
+    closing.add(clientFactory::closeAsync);
+    gateway.start();
+    String uri = "h1c://127.0.0.1:" + gateway.clientAddress().getPort();
+    int answered = send(WebClient.builder(uri).factory(clientFactory).build());
+    Logger.info(
+        "event=rehearsed answered={} took-millis={}",
+        answered,
+        (clock.monotonicNanos() - startedNanos) / NANOS_PER_MILLI);
+  }
+
+  /** What the warm-up has opened so far. */
+  private static final class Closing {
+
+    private final List<Supplier<CompletableFuture<?>>> closers = new ArrayList<>();
+
+    void add(Supplier<CompletableFuture<?>> closer) {
+      closers.add(closer);
+    }
+
+    /** Closes all, the last one first; failures are logged. */
+    CompletableFuture<Void> closeAll() {
+      List<CompletableFuture<?>> closed = new ArrayList<>();
+      for (Supplier<CompletableFuture<?>> closer : closers.reversed()) {
+        try {
+          closed.add(closer.get());
+        } catch (RuntimeException e) {
+          logFailure(e);
+        }
+      }
+      return CompletableFuture.allOf(closed.toArray(CompletableFuture<?>[]::new))
+          .exceptionally(WarmUp::logFailure);
     }
-    return closed;
   }
 
   private static int send(WebClient client) {
@@ -158,22 +189,18 @@
                 }));
   }
 
-  private static GatewaySettings settings(int[] ports) {
+  private static GatewaySettings settings() {
+    // No other instance gets to know the addresses.
     InstanceIdentity identity =
         new InstanceIdentity(
-            "rehearsal",
-            1,
-            "rehearsal",
-            "rehearsal",
-            "127.0.0.1:" + ports[0],
-            "127.0.0.1:" + ports[4]);
+            "rehearsal", 1, "rehearsal", "rehearsal", "127.0.0.1:0", "127.0.0.1:0");
     return new GatewaySettings(
         identity,
-        address(ports[0]),
-        address(ports[1]),
-        address(ports[2]),
-        address(ports[4]),
-        address(ports[3]),
+        ANY_PORT,
+        ANY_PORT,
+        ANY_PORT,
+        ANY_PORT,
+        ANY_PORT,
         Map.of("rehearsal", "rehearsal"),
         0,
         0,
@@ -182,21 +209,4 @@
         1_000,
         5_000);
   }
-
-  private static InetSocketAddress address(int port) {
-    return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
-  }
-
-  private static int[] freePorts() throws IOException {
-    List<ServerSocket> sockets = new ArrayList<>();
-    int[] ports = new int[PORT_COUNT];
-    for (int i = 0; i < PORT_COUNT; i++) {
-      sockets.add(new ServerSocket(0, 1, InetAddress.getLoopbackAddress()));
-      ports[i] = sockets.get(i).getLocalPort();
-    }
-    for (ServerSocket socket : sockets) {
-      socket.close();
-    }
-    return ports;
-  }
 }
