Log each attempt of a request and each skipped response

Callers saw a success where the server had noted another status, and the record could not tell which attempt, server or connection the response came from: a success left a line in one case of 64, the line named the last server only, and a response that was skipped left no line.

event=request-finished has attempts= right behind the id, since records cut lines short: server, ending, status, connection and order on it for each attempt, at most six. A success after an earlier send, or over a connection that has had another request's response, is no longer sampled but limited to 10 lines a second each, apart from the other limits.

event=response-skipped names the id received, its status, the id in progress, the server and the connection, and tells a second response from a response without a request. It has a limit of its own, and the metric bambooarch_skipped_responses counts all of them by reason. The head of a response on an idle connection, which is closed undecoded as before, is read up to 4 KB for the line.

Nothing about how requests are sent or responses are matched changes.

Evidence: the log's and the connection's new events did not exist before, so their tests do not compile without the change. The rest of the suite and RequestEventLogBenchmark have not been run.

--- a/gateway/src/main/java/org/bambooarch/gateway/Gateway.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/Gateway.java
@@ -40,6 +40,7 @@
 import org.bambooarch.gateway.request.GatewayContext;
 import org.bambooarch.gateway.request.ProxyService;
 import org.bambooarch.gateway.request.ResponseBuffers;
+import org.bambooarch.gateway.request.SkippedResponseLogger;
 import org.bambooarch.gateway.spi.ControlStore;
 import org.bambooarch.gateway.spi.RequestFormat;
 import org.bambooarch.gateway.target.NettyTransport;
@@ -145,9 +146,15 @@
     this.partitionMonitor =
         new PartitionMonitor(
             state.reachability(), state.servers(), clock, this::onPartitionVerdictChanged);
-    this.targetClient = new TargetHttpClient(requestFormat, loop, clock, partitionMonitor);
     this.requestLog =
         new RequestEventLog(AsyncLineWriter.standardOutput(), settings.identity().name(), clock);
+    this.targetClient =
+        new TargetHttpClient(
+            requestFormat,
+            loop,
+            clock,
+            partitionMonitor,
+            new SkippedResponseLogger(requestLog, metrics));
     GatewayContext context =
         new GatewayContext(
             state,
--- a/gateway/src/main/java/org/bambooarch/gateway/observability/GatewayMetrics.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/observability/GatewayMetrics.java
@@ -44,6 +44,12 @@
           .name("bambooarch_relayed_requests")
           .help("Requests of other instances that were to be forwarded to servers.")
           .register(registry);
+  private final Counter skippedResponses =
+      Counter.builder()
+          .name("bambooarch_skipped_responses")
+          .help("Responses of servers that were passed on to no request, by reason.")
+          .labelNames("reason")
+          .register(registry);
   private final Histogram latency =
       Histogram.builder()
           .name("bambooarch_request_seconds")
@@ -84,6 +90,11 @@
     relayedRequests.inc();
   }
 
+  /** Counts a response that was passed on to no request. */
+  public void onResponseSkipped(String reason) {
+    skippedResponses.labelValues(reason).inc();
+  }
+
   /** Returns the name of an outcome in logs and metric labels, for example {@code no-route}. */
   public static String labelOf(RequestOutcome outcome) {
     return outcome.name().toLowerCase(Locale.ROOT).replace('_', '-');
--- a/gateway/src/main/java/org/bambooarch/gateway/observability/RequestEventLog.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/observability/RequestEventLog.java
@@ -1,6 +1,7 @@
 package org.bambooarch.gateway.observability;
 
 import java.time.Instant;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import org.bambooarch.core.time.Clock;
@@ -18,6 +19,9 @@
   /** Lines per second about requests that were not answered; these suffice to find any cause. */
   static final int MAX_LINES_PER_SECOND = 20;
 
+  /** Lines per second of each cause that has a limit of its own. */
+  static final int MAX_LINES_OF_CAUSE_PER_SECOND = 10;
+
   /** One in this many answered requests is logged. */
   private static final int ANSWERED_SAMPLE_INTERVAL = 64;
 
@@ -27,6 +31,7 @@
   private final String instance;
   private final Clock clock;
   private final Map<String, Integer> suppressedByCause = new LinkedHashMap<>();
+  private final Map<String, Integer> linesByCause = new HashMap<>();
   private long secondStartNanos;
   private int linesInSecond;
   private long answeredRequests;
@@ -66,6 +71,22 @@
     return true;
   }
 
+  /**
+   * Returns whether the limit of a cause permits another line in this second; if not, counts the
+   * line as suppressed. Lines of other causes do not count towards it.
+   *
+   * @param cause label of the limit, one of few
+   */
+  public boolean tryAcquireLineOfCause(String cause) {
+    tick();
+    if (linesByCause.getOrDefault(cause, 0) >= MAX_LINES_OF_CAUSE_PER_SECOND) {
+      suppressedByCause.merge(cause, 1, Integer::sum);
+      return false;
+    }
+    linesByCause.merge(cause, 1, Integer::sum);
+    return true;
+  }
+
   /** If the current second is over, logs how many lines it suppressed and starts the next one. */
   public void tick() {
     long nowNanos = clock.monotonicNanos();
@@ -74,6 +95,7 @@
     }
     secondStartNanos = nowNanos;
     linesInSecond = 0;
+    linesByCause.clear();
     suppressedByCause.forEach(
         (cause, count) -> write("event=lines-suppressed cause=" + cause + " lines=" + count));
     suppressedByCause.clear();
--- a/gateway/src/main/java/org/bambooarch/gateway/request/ProxyExchange.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/ProxyExchange.java
@@ -306,6 +306,7 @@
     final ServerAttempt newAttempt =
         new ServerAttempt(this, context, writer, query, chosen, loadBefore);
     attempt = newAttempt;
+    log.onAttempt(newAttempt.trace());
     TargetRequestHandle newHandle = sendAttempt(newAttempt, request, relay);
     // The attempt may have failed already.
     if (attempt == newAttempt) {
--- a/gateway/src/main/java/org/bambooarch/gateway/request/RelayedResponseListener.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/RelayedResponseListener.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import org.bambooarch.gateway.spi.RelayHeaders;
 import org.bambooarch.gateway.spi.ServerResponseHeaders;
+import org.bambooarch.gateway.target.ConnectionUse;
 import org.bambooarch.gateway.target.TargetResponseListener;
 
 /**
@@ -27,6 +28,11 @@
     attempt.onRelayUnreachable();
   }
 
+  @Override
+  public void onConnection(ConnectionUse use) {
+    attempt.onConnection(use);
+  }
+
   @Override
   public void onSending() {
     attempt.onSending();
--- a/gateway/src/main/java/org/bambooarch/gateway/request/RequestLogger.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/RequestLogger.java
@@ -1,5 +1,6 @@
 package org.bambooarch.gateway.request;
 
+import java.util.Locale;
 import java.util.Optional;
 import org.bambooarch.core.steering.RetryDecider;
 import org.bambooarch.core.steering.config.CustomerPolicy;
@@ -25,6 +26,7 @@
   private final ServiceRoute route;
   private final String service;
   private final Optional<CustomerPolicy> customer;
+  private final AttemptTraces attempts = new AttemptTraces();
   private String lastFailure = "";
   private String noRoomDetails = "";
   private String via = "";
@@ -50,6 +52,11 @@
     via = relay.map(instance -> " via=" + instance.name()).orElse("");
   }
 
+  /** Records an attempt that begins now; the line about the finished request states it. */
+  void onAttempt(AttemptTrace trace) {
+    attempts.add(trace);
+  }
+
   /** Records why no server had room; the line about the finished request states it. */
   void onNoRoom(NoRoomDetails details) {
     noRoomDetails = details.describe();
@@ -65,6 +72,7 @@
   void onAttemptFailed(
       ServerState server, RetryDecider.AttemptResult result, String cause, RetryDecider.Step next) {
     lastFailure = cause;
+    attempts.onLastEnded(result.name().toLowerCase(Locale.ROOT).replace('_', '-'));
     if (context.requestLog().tryAcquireLine("attempt-failed")) {
       context
           .requestLog()
@@ -81,8 +89,9 @@
   }
 
   /**
-   * Logs how the request ended. Requests answered with a success are sampled; all others are logged
-   * up to the rate limit of the log.
+   * Logs how the request ended. Requests answered with a success are sampled, unless an earlier
+   * attempt was sent or their connection has had a response that was skipped; all others are logged
+   * up to the rate limits of the log.
    *
    * @param status HTTP status of the response, or 0 if there is none or it was aborted
    * @param cause short reason for the log; empty if nothing failed
@@ -99,11 +108,8 @@
       int sends,
       long durationNanos,
       RequestTimeline timeline) {
-    boolean logged =
-        outcome == RequestOutcome.ANSWERED && status < MIN_LOGGED_STATUS
-            ? context.requestLog().shouldSampleAnswered()
-            : context.requestLog().tryAcquireLine(GatewayMetrics.labelOf(outcome));
-    if (logged) {
+    attempts.onLastEnded(GatewayMetrics.labelOf(outcome));
+    if (shouldLog(outcome, status)) {
       String subject = subject();
       String ending = ending(outcome, status, cause, server, sends, durationNanos);
       long version = context.state().config().map(SteeringConfig::version).orElse(0L);
@@ -121,10 +127,24 @@
     }
   }
 
+  private boolean shouldLog(RequestOutcome outcome, int status) {
+    if (outcome != RequestOutcome.ANSWERED || status >= MIN_LOGGED_STATUS) {
+      return context.requestLog().tryAcquireLine(GatewayMetrics.labelOf(outcome));
+    }
+    if (attempts.skippedByLast() > 0) {
+      return context.requestLog().tryAcquireLineOfCause("answered-after-skip");
+    }
+    if (attempts.wasSentBeforeLast()) {
+      return context.requestLog().tryAcquireLineOfCause("answered-after-retry");
+    }
+    return context.requestLog().shouldSampleAnswered();
+  }
+
   private String subject() {
-    return "request=%s route=%s service=%s customer=%s object=%s"
+    return "request=%s %s route=%s service=%s customer=%s object=%s"
         .formatted(
             clientHeaders.requestId(),
+            attempts.describe(),
             route.name(),
             service,
             customer.map(CustomerPolicy::name).orElse("-"),
--- a/gateway/src/main/java/org/bambooarch/gateway/request/ServerAttempt.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/ServerAttempt.java
@@ -9,6 +9,7 @@
 import org.bambooarch.core.steering.place.ServerState;
 import org.bambooarch.gateway.control.ControlState;
 import org.bambooarch.gateway.spi.ServerResponseHeaders;
+import org.bambooarch.gateway.target.ConnectionUse;
 import org.bambooarch.gateway.target.TargetResponseListener;
 
 /**
@@ -27,6 +28,7 @@
   private final ServerState server;
   private final ServerEntry sentTo;
   private final int loadBefore;
+  private final AttemptTrace trace;
   private long sentNanos;
   private ServerResponseHeaders responseHeaders;
   private HttpResponse responseHead;
@@ -57,9 +59,15 @@
     this.server = server;
     this.sentTo = server.entry();
     this.loadBefore = loadBefore;
+    this.trace = new AttemptTrace(sentTo.id());
     this.sentNanos = state.clock().monotonicNanos();
   }
 
+  /** Returns how the attempt went so far. */
+  AttemptTrace trace() {
+    return trace;
+  }
+
   /** Returns the server that gets the request. */
   ServerState server() {
     return server;
@@ -143,6 +151,11 @@
     exchange.onAttemptFailed(AttemptResult.LOST, "relay-lost: " + reason);
   }
 
+  @Override
+  public void onConnection(ConnectionUse use) {
+    trace.onConnection(use);
+  }
+
   @Override
   public void onSending() {
     sentNanos = state.clock().monotonicNanos();
@@ -154,6 +167,7 @@
       HttpResponse newResponseHead, ServerResponseHeaders newResponseHeaders) {
     responseHead = newResponseHead;
     responseHeaders = newResponseHeaders;
+    trace.onResponseHead(responseStatus());
     state.serverDirectives().onResponseHead(server, sentTo, responseHeaders);
     if (!responseHeaders.genuine() || deniesEarlierRun()) {
       return;
--- a/gateway/src/main/java/org/bambooarch/gateway/target/ReceivedBytesFilter.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/target/ReceivedBytesFilter.java
@@ -21,7 +21,7 @@
 
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
-    if (message instanceof ByteBuf bytes && !connection.acceptsBytes(bytes.readableBytes())) {
+    if (message instanceof ByteBuf bytes && !connection.acceptsBytes(bytes)) {
       ReferenceCountUtil.release(bytes);
       return;
     }
--- a/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnection.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnection.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.bambooarch.core.time.Clock;
 import org.bambooarch.gateway.spi.RequestFormat;
@@ -54,6 +55,7 @@
   private final RequestTargetEncoder targetEncoder = new RequestTargetEncoder();
   private final ResponseDecoder decoder = new ResponseDecoder();
   private final CarriedRequestIds carriedRequestIds = new CarriedRequestIds();
+  private final ConnectionHistory history = new ConnectionHistory();
   private Channel channel;
   private ReadState readState = ReadState.IDLE;
   private TargetResponseListener listener;
@@ -137,6 +139,7 @@
     requestComplete = request.body().isPresent();
     readState = ReadState.HEAD;
     bytesBeforeResponse = 0;
+    listener.onConnection(history.onRequest(requestId));
     listener.onSending();
     targetEncoder.beforeHead(request.path());
     decoder.beforeResponseTo(request.method());
@@ -199,15 +202,14 @@
    * bytes arrived while no request is in progress, or too many arrived before the response to the
    * request.
    */
-  boolean acceptsBytes(int count) {
+  boolean acceptsBytes(ByteBuf bytes) {
     switch (readState) {
       case IDLE -> {
-        pool.onUnsolicitedResponse();
-        close();
+        onUnrequested(RawResponseHead.parse(bytes));
         return false;
       }
       case HEAD, SKIPPED_RESPONSE -> {
-        bytesBeforeResponse += count;
+        bytesBeforeResponse += bytes.readableBytes();
         if (bytesBeforeResponse > MAX_SKIPPED_BYTES) {
           failRequest("the server sent too many bytes that do not belong to the response");
           close();
@@ -271,12 +273,12 @@
 
   private void onHead(HttpResponse head) {
     if (readState == ReadState.IDLE) {
-      pool.onUnsolicitedResponse();
-      close();
+      onUnrequested(Optional.of(head));
       return;
     }
     if (JoinedHead.matches(head)) {
-      pool.onUnsolicitedResponse();
+      String receivedId = format.readServerResponse(head).requestId();
+      pool.onUnsolicitedResponse(history.onJoinedHead(receivedId, head.status().code()));
       failRequest("the server sent a response whose head broke off and another one behind it");
       close();
       return;
@@ -286,7 +288,8 @@
     }
     ServerResponseHeaders headers = format.readServerResponse(head);
     if (!headers.requestId().equals(requestId)) {
-      pool.onUnsolicitedResponse();
+      pool.onUnsolicitedResponse(
+          history.onOtherRequestAnswered(headers.requestId(), head.status().code()));
       reusable = false;
       readState = ReadState.SKIPPED_RESPONSE;
       return;
@@ -302,6 +305,15 @@
     listener.onResponseHead(head, headers);
   }
 
+  /** Closes the connection since bytes arrived while no request was in progress. */
+  private void onUnrequested(Optional<HttpResponse> head) {
+    String receivedId =
+        head.map(format::readServerResponse).map(ServerResponseHeaders::requestId).orElse("");
+    int status = head.map(response -> response.status().code()).orElse(0);
+    pool.onUnsolicitedResponse(history.onUnrequested(receivedId, status));
+    close();
+  }
+
   private void onContent(HttpContent content) {
     if (readState == ReadState.SKIPPED_RESPONSE && content instanceof LastHttpContent) {
       readState = ReadState.HEAD;
@@ -326,12 +338,13 @@
       failRequest("the connection was reset before the response was complete");
       return;
     }
+    readState = ReadState.IDLE;
+    history.onAnswered();
     if (decoder.hasUndecodedBytes()) {
       // They belong to no request, and would be decoded as the beginning of the next response.
-      pool.onUnsolicitedResponse();
       reusable = false;
+      pool.onUnsolicitedResponse(history.onBytesBehindResponse());
     }
-    readState = ReadState.IDLE;
     idleSinceNanos = clock.monotonicNanos();
     final TargetResponseListener finishedListener = listener;
     listener = null;
--- a/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnectionPool.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnectionPool.java
@@ -67,6 +67,9 @@
 
     /** Called when data arrived. */
     default void onRead() {}
+
+    /** Called when a response was passed on to no request. */
+    default void onResponseSkipped(SkippedResponse response) {}
   }
 
   private final InetSocketAddress address;
@@ -289,7 +292,8 @@
   }
 
   /** Called when a response arrived that belongs to no request in progress. */
-  void onUnsolicitedResponse() {
+  void onUnsolicitedResponse(SkippedResponse response) {
+    observer.onResponseSkipped(response);
     sawUnsolicitedResponse = true;
     newConnectionsOnlyUntilNanos = clock.monotonicNanos() + NEW_CONNECTIONS_ONLY_NANOS;
   }
--- a/gateway/src/main/java/org/bambooarch/gateway/target/TargetHttpClient.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/target/TargetHttpClient.java
@@ -33,6 +33,7 @@
   private final EventLoop loop;
   private final Clock clock;
   private final ConnectionObserver observer;
+  private final SkippedResponseListener skippedResponses;
   private final Map<String, TargetConnectionPool> pools = new HashMap<>();
 
   /** Kept for as long as the process runs: instances are few, and peers close idle connections. */
@@ -45,10 +46,15 @@
    * @param loop the event loop that all connections use
    * @param clock source of monotonic time
    * @param observer receives what all connections say about whether servers can be reached
+   * @param skippedResponses receives the responses that belong to no request in progress
    */
   public TargetHttpClient(
-      RequestFormat format, EventLoop loop, Clock clock, ConnectionObserver observer) {
-    this(format, NettyTransport.newBootstrap(loop), loop, clock, observer);
+      RequestFormat format,
+      EventLoop loop,
+      Clock clock,
+      ConnectionObserver observer,
+      SkippedResponseListener skippedResponses) {
+    this(format, NettyTransport.newBootstrap(loop), loop, clock, observer, skippedResponses);
   }
 
   /** Creates a client whose connections a bootstrap opens that uses the event loop. */
@@ -57,12 +63,14 @@
       Bootstrap bootstrap,
       EventLoop loop,
       Clock clock,
-      ConnectionObserver observer) {
+      ConnectionObserver observer,
+      SkippedResponseListener skippedResponses) {
     this.bootstrap = bootstrap;
     this.format = format;
     this.loop = loop;
     this.clock = clock;
     this.observer = observer;
+    this.skippedResponses = skippedResponses;
   }
 
   /**
@@ -95,7 +103,8 @@
   private TargetConnectionPool newPool(ServerState server) {
     ServerEntry entry = server.entry();
     return newPool(
-        new InetSocketAddress(entry.host(), entry.port()), new ServerObserver(entry, observer));
+        new InetSocketAddress(entry.host(), entry.port()),
+        new ServerObserver(entry, observer, skippedResponses));
   }
 
   private TargetConnectionPool newPool(
@@ -104,7 +113,8 @@
         address, format, bootstrap, loop, clock, CONNECT_TIMEOUT_MILLIS, poolObserver);
   }
 
-  private record ServerObserver(ServerEntry server, ConnectionObserver observer)
+  private record ServerObserver(
+      ServerEntry server, ConnectionObserver observer, SkippedResponseListener skippedResponses)
       implements TargetConnectionPool.Observer {
 
     @Override
@@ -131,6 +141,20 @@
     public void onRead() {
       observer.onRead();
     }
+
+    @Override
+    public void onResponseSkipped(SkippedResponse response) {
+      skippedResponses.onResponseSkipped(server.id(), response);
+    }
+  }
+
+  private record RelayObserver(InetSocketAddress relay, SkippedResponseListener skippedResponses)
+      implements TargetConnectionPool.Observer {
+
+    @Override
+    public void onResponseSkipped(SkippedResponse response) {
+      skippedResponses.onResponseSkipped(relay.getHostString() + ":" + relay.getPort(), response);
+    }
   }
 
   /**
@@ -148,7 +172,8 @@
       TargetResponseListener listener) {
     TargetRequestHandle handle = new TargetRequestHandle();
     relayPools
-        .computeIfAbsent(relay, address -> newPool(address, new TargetConnectionPool.Observer() {}))
+        .computeIfAbsent(
+            relay, address -> newPool(address, new RelayObserver(address, skippedResponses)))
         .send(request, gate, listener, handle, () -> {});
     return handle;
   }
--- a/gateway/src/main/java/org/bambooarch/gateway/target/TargetResponseListener.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/target/TargetResponseListener.java
@@ -7,7 +7,7 @@
 /**
  * Receives the events of one request to a server. All methods are called on the event loop.
  *
- * <p>The first event is {@link #onUnreachable} or {@link #onSending}. {@link #onUnreachable},
+ * <p>The first event is {@link #onUnreachable} or {@link #onConnection}. {@link #onUnreachable},
  * {@link #onComplete} and {@link #onConnectionLost} are final. After a call of {@link
  * TargetRequestHandle#cancel()} no event follows.
  */
@@ -21,6 +21,9 @@
    */
   void onUnreachable(boolean refused);
 
+  /** A connection for the request is open. Called right before {@link #onSending}. */
+  default void onConnection(ConnectionUse use) {}
+
   /** The request is about to be written; the server may run it from now on. */
   void onSending();
 
--- a/gateway/src/test/java/org/bambooarch/gateway/bodypath/BodyPathWorld.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/bodypath/BodyPathWorld.java
@@ -113,7 +113,8 @@
             new Bootstrap().group(loop).channelFactory(this::newLink),
             reportingLoop(),
             clock,
-            new NoObserver());
+            new NoObserver(),
+            (server, response) -> {});
     GatewayContext context =
         new GatewayContext(
             state,
--- a/gateway/src/test/java/org/bambooarch/gateway/observability/RequestEventLogTest.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/observability/RequestEventLogTest.java
@@ -105,6 +105,28 @@
         .startsWith("time=1970-01-01T00:00:01.500Z level=INFO instance=entry-1 event=x");
   }
 
+  // Regression: requests answered after a failed attempt left no line in most cases.
+  @Test
+  void should_limit_the_lines_of_a_cause_on_their_own_when_other_lines_have_used_up_the_limit() {
+    ByteArrayOutputStream output = new ByteArrayOutputStream();
+    AsyncLineWriter writer = new AsyncLineWriter(new PrintStream(output));
+    RequestEventLog log = new RequestEventLog(writer, "entry-1", clock);
+    for (int i = 0; i < RequestEventLog.MAX_LINES_PER_SECOND; i++) {
+      assertThat(log.tryAcquireLine("no-room")).isTrue();
+    }
+
+    for (int i = 0; i < RequestEventLog.MAX_LINES_OF_CAUSE_PER_SECOND; i++) {
+      assertThat(log.tryAcquireLineOfCause("answered-after-retry")).isTrue();
+    }
+    assertThat(log.tryAcquireLineOfCause("answered-after-retry")).isFalse();
+    assertThat(log.tryAcquireLineOfCause("response-skipped")).isTrue();
+    clock.advanceMillis(1_000);
+
+    assertThat(log.tryAcquireLineOfCause("answered-after-retry")).isTrue();
+    assertThat(awaitAllLines(output, writer))
+        .contains("event=lines-suppressed cause=answered-after-retry lines=1");
+  }
+
   @Test
   void should_write_each_line_on_its_own_when_text_is_printed_to_the_stream() {
     ByteArrayOutputStream output = new ByteArrayOutputStream();
