Explain from the logs which attempt a request's answer came from

It shows event=response-skipped lines that name the id, as the request in progress or as the one received, also if no other line names it.

--- a/cli/src/main/java/org/bambooarch/cli/explain/LogQueryRunner.java
+++ b/cli/src/main/java/org/bambooarch/cli/explain/LogQueryRunner.java
@@ -48,16 +48,37 @@
   private LogQueryResult queryRequest(String id) {
     for (List<LogLine> file : files) {
       List<LogLine> requestLines =
-          file.stream().filter(line -> line.field("request").equals(id)).toList();
+          file.stream()
+              .filter(line -> line.field("request").equals(id) && !SkippedResponses.isSkipped(line))
+              .toList();
       if (!requestLines.isEmpty()) {
+        List<LogLine> skipped = file.stream().filter(line -> isSkippedBeside(line, id)).toList();
         List<LogLine> shown = new ArrayList<>(stateChangeLinesBefore(file, requestLines));
         shown.addAll(requestLines);
+        shown.addAll(skipped);
         shown.sort(Comparator.comparingInt(LogLine::position));
         return new LogQueryResult(
-            shown, "cause: " + OutcomeDescriptions.describe(requestLines.getLast()));
+            shown,
+            "cause: "
+                + OutcomeDescriptions.describe(requestLines.getLast())
+                + SkippedResponses.describe(skipped));
       }
     }
-    return new LogQueryResult(suppressionLines(), OutcomeDescriptions.NO_LINE_FOUND);
+    return queryUnfinishedRequest(id);
+  }
+
+  /** Returns the result for a request without lines of its own. */
+  private LogQueryResult queryUnfinishedRequest(String id) {
+    List<LogLine> skipped = linesMatching(line -> isSkippedBeside(line, id));
+    List<LogLine> shown = new ArrayList<>(suppressionLines());
+    shown.addAll(skipped);
+    return new LogQueryResult(
+        shown, OutcomeDescriptions.NO_LINE_FOUND + SkippedResponses.describe(skipped));
+  }
+
+  private static boolean isSkippedBeside(LogLine line, String id) {
+    boolean inProgress = SkippedResponses.isSkipped(line) && line.field("request").equals(id);
+    return inProgress || SkippedResponses.names(line, id);
   }
 
   private List<LogLine> suppressionLines() {
--- a/cli/src/main/java/org/bambooarch/cli/explain/OutcomeDescriptions.java
+++ b/cli/src/main/java/org/bambooarch/cli/explain/OutcomeDescriptions.java
@@ -13,7 +13,9 @@
   /** Returns the description of the outcome in the last line about a request. */
   static String describe(LogLine last) {
     return switch (last.field("outcome")) {
-      case "answered" -> "none, server " + last.field("server") + " answered " + elapsed(last);
+      case "answered" ->
+          "none, server %s answered %s%s"
+              .formatted(last.field("server"), elapsed(last), attempts(last));
       case "server-failure" ->
           "server " + last.field("server") + " itself answered with " + last.field("status");
       case "no-configuration" ->
@@ -51,6 +53,12 @@
     };
   }
 
+  /** Returns the attempts of a request that had more than one. */
+  private static String attempts(LogLine last) {
+    String attempts = last.field("attempts");
+    return attempts.contains(",") ? "; the attempts in order were " + attempts : "";
+  }
+
   private static String elapsed(LogLine last) {
     return "(after " + last.field("took-millis") + " ms)";
   }
--- a/cli/src/test/java/org/bambooarch/cli/explain/LogExplainerTest.java
+++ b/cli/src/test/java/org/bambooarch/cli/explain/LogExplainerTest.java
@@ -61,6 +61,53 @@
     assertThat(answer.getLast()).startsWith("cause: unknown, no line was written");
   }
 
+  private static List<String> explainLines(String id, String... lines) throws IOException {
+    byte[] log = String.join("\n", lines).getBytes(StandardCharsets.UTF_8);
+    return LogExplainer.read(List.of(LogExplainer.STANDARD_INPUT), new ByteArrayInputStream(log))
+        .explain(new LogQuery.ByRequest(id));
+  }
+
+  // Guards against taking the line of a late response for how the request ended.
+  @Test
+  void should_name_attempts_and_skipped_responses_when_a_request_was_sent_twice()
+      throws IOException {
+    List<String> answer =
+        explainLines(
+            "r1",
+            "event=response-skipped request=r1 received=r0 status=500 reason=other-request"
+                + " server=i-b connection=c7/1",
+            "event=request-finished request=r1 attempts=i-a:failed:500:c12/3,i-b:answered:200:c7/1"
+                + " skipped-responses=1 outcome=answered status=200 server=i-b took-millis=9",
+            "event=response-skipped request=- received=r1 status=500 reason=second-response"
+                + " server=i-b connection=c7/1");
+
+    assertThat(answer).hasSize(4);
+    assertThat(answer.getLast())
+        .isEqualTo(
+            "cause: none, server i-b answered (after 9 ms); the attempts in order were"
+                + " i-a:failed:500:c12/3,i-b:answered:200:c7/1; server i-b sent a response (500) to"
+                + " request r0 on connection c7/1 while it had request r1, which was skipped;"
+                + " server i-b sent a response (500) to request r1 on connection c7/1 a second"
+                + " time, which was skipped");
+  }
+
+  // Guards against leaving out the only line that names a request, as the received one.
+  @Test
+  void should_show_the_skipped_response_when_only_that_names_the_request() throws IOException {
+    List<String> answer =
+        explainLines(
+            "r0",
+            "event=response-skipped request=- received=r0 status=200 reason=no-request server=i-b"
+                + " connection=c7/0");
+
+    assertThat(answer.getFirst()).contains("received=r0");
+    assertThat(answer.getLast())
+        .startsWith("cause: unknown")
+        .endsWith(
+            "; server i-b sent a response (200) to request r0 on connection c7/0 when it had no"
+                + " request, which was skipped");
+  }
+
   @Test
   void should_keep_file_order_and_mark_lines_ordered_by_clocks_when_the_time_of_day_jumps()
       throws IOException {
