Add a soak that plays faults to real instances and checks each answer

Starts instances with the command of the deploy file, each on a loopback address of its own, and plays servers, clients and operator: second answers with the same and another status, answers without a length, cut and reset answers, garbage, killed servers and instances, changes of the configuration. Both sides are recorded by request; the seal of an answer names its run, so each answer is compared with the run that gave it.

A second count goes by request id alone, as a record without seals would, to see what such a record takes for a wrong answer.

--- /dev/null
+++ b/soak/src/main/java/org/bambooarch/soak/ClientWorker.java
@@ -0,0 +1,228 @@
+package org.bambooarch.soak;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.LongAdder;
+import org.tinylog.Logger;
+
+/** One client: sends requests at its own rate, leaves some early and retries after failures. */
+final class ClientWorker implements Runnable {
+
+  /** Share of requests whose client leaves early. */
+  private static final double LEAVE_SHARE = 0.2;
+
+  /** Share of new connections that carry one request only. */
+  private static final double SINGLE_USE_SHARE = 0.3;
+
+  /** Share of turns that send several safe requests before reading the first answer. */
+  private static final double PIPELINE_SHARE = 0.06;
+
+  private static final double UNSAFE_SHARE = 0.35;
+  private static final double LONG_BODY_SHARE = 0.03;
+  private static final int LONG_BODY_BYTES = 150_000;
+  private static final int MAX_ATTEMPTS = 3;
+  private static final int MIN_DEADLINE_MILLIS = 700;
+  private static final int MAX_DEADLINE_MILLIS = 3_000;
+
+  /** What all clients of a run share. */
+  record Environment(
+      Journal journal,
+      InstanceGroup instances,
+      RunClock clock,
+      double meanPauseMillis,
+      boolean sameIds,
+      AtomicLong connections,
+      LongAdder left,
+      LongAdder connectsFailed) {}
+
+  /** A request to send; its attempts may have different ids. */
+  private record Request(String target, boolean repeatable, byte[] body, int deadlineMillis) {}
+
+  private final Environment environment;
+  private final Random random;
+  private ClientConnection connection;
+  private int usesLeft;
+
+  ClientWorker(Environment environment, long seed) {
+    this.environment = environment;
+    random = new Random(seed);
+  }
+
+  @Override
+  public void run() {
+    long nextNanos = System.nanoTime();
+    try {
+      while (!environment.clock().isOver()) {
+        double pauseMillis = -environment.meanPauseMillis() * Math.log(1 - random.nextDouble());
+        nextNanos += (long) (pauseMillis * 1e6);
+        TimeUnit.NANOSECONDS.sleep(nextNanos - System.nanoTime());
+        if (random.nextDouble() < PIPELINE_SHARE) {
+          pipeline(2 + random.nextInt(3));
+        } else {
+          request();
+        }
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } finally {
+      closeConnection();
+    }
+  }
+
+  private void request() throws InterruptedException {
+    Request request = nextRequest(random.nextDouble() < UNSAFE_SHARE);
+    String id = nextId();
+    for (int attempt = 1; attempt <= MAX_ATTEMPTS; attempt++) {
+      if (attempt > 1) {
+        closeConnection();
+        id = environment.sameIds() ? id : nextId();
+      }
+      ClientAnswer answer = attempt(request, id, attempt);
+      if (answer == null || !mayRetry(answer)) {
+        return;
+      }
+      Thread.sleep(random.nextInt(100));
+    }
+  }
+
+  /** Returns the answer, or null if the client left or got no connection. */
+  private ClientAnswer attempt(Request request, String id, int attempt) {
+    try {
+      open();
+      ClientConnection.Sent sent =
+          connection.send(id, attempt, request.repeatable(), bytes(request, id));
+      if (random.nextDouble() < LEAVE_SHARE) {
+        leave(sent);
+        return null;
+      }
+      ClientAnswer answer = connection.read(sent, request.deadlineMillis() + 1_000);
+      environment.journal().add(answer);
+      finishUse();
+      return answer;
+    } catch (IOException e) {
+      Logger.debug("event=attempt-failed request={} cause={}", id, e);
+      environment.connectsFailed().increment();
+      closeConnection();
+      return null;
+    }
+  }
+
+  private void leave(ClientConnection.Sent sent) throws IOException {
+    environment.left().increment();
+    ClientAnswer answer = connection.read(sent, 1 + random.nextInt(200));
+    environment.journal().add(answer);
+    if (random.nextBoolean()) {
+      connection.reset();
+    }
+    closeConnection();
+  }
+
+  private void pipeline(int requests) {
+    try {
+      open();
+      List<ClientConnection.Sent> sent = new ArrayList<>();
+      Request request = nextRequest(false);
+      for (int i = 0; i < requests; i++) {
+        String id = nextId();
+        sent.add(connection.send(id, 1, true, bytes(request, id)));
+      }
+      for (ClientConnection.Sent each : sent) {
+        environment.journal().add(connection.read(each, request.deadlineMillis() + 1_000));
+        if (!connection.isOpen()) {
+          break;
+        }
+      }
+      finishUse();
+    } catch (IOException e) {
+      Logger.debug("event=pipeline-failed cause={}", e);
+      environment.connectsFailed().increment();
+      closeConnection();
+    }
+  }
+
+  private static boolean mayRetry(ClientAnswer answer) {
+    if (answer.isRefusal()) {
+      return true;
+    }
+    boolean failed = !answer.complete() || answer.status() >= 500;
+    return answer.repeatable() && failed;
+  }
+
+  private Request nextRequest(boolean unsafe) {
+    String service = Deployment.SERVICES.get(random.nextInt(Deployment.SERVICES.size()));
+    String prefix = unsafe ? Deployment.UNSAFE_PREFIX : Deployment.SAFE_PREFIX;
+    boolean longBody = random.nextDouble() < LONG_BODY_SHARE;
+    int length = longBody ? LONG_BODY_BYTES : unsafe ? random.nextInt(500) : 0;
+    return new Request(
+        "/" + prefix + service + "/" + Integer.toHexString(random.nextInt(4_096)),
+        !unsafe,
+        Messages.randomBody(length, random),
+        MIN_DEADLINE_MILLIS + random.nextInt(MAX_DEADLINE_MILLIS - MIN_DEADLINE_MILLIS));
+  }
+
+  private static byte[] bytes(Request request, String id) {
+    String head =
+        """
+        %s %s HTTP/1.1
+        Host: %s
+        Request-Id: %s
+        Deadline-Ms: %d
+        Credential: %s
+        Content-Length: %d
+
+        """
+            .formatted(
+                request.body().length > 0 ? "POST" : "GET",
+                request.target(),
+                Deployment.HOST,
+                id,
+                request.deadlineMillis(),
+                Deployment.API_KEY,
+                request.body().length);
+    return Messages.join(Messages.bytes(head.replace("\n", "\r\n")), request.body());
+  }
+
+  private String nextId() {
+    return "%016x".formatted(random.nextLong());
+  }
+
+  private void open() throws IOException {
+    if (connection != null && !connection.isOpen()) {
+      closeConnection();
+    }
+    if (connection != null) {
+      return;
+    }
+    InstanceGroup.Instance instance = environment.instances().anyReady(random);
+    connection =
+        new ClientConnection(
+            instance.name(), instance.front(), environment.connections().incrementAndGet());
+    usesLeft = random.nextDouble() < SINGLE_USE_SHARE ? 1 : 2 + random.nextInt(20);
+  }
+
+  private void finishUse() {
+    usesLeft--;
+    if (usesLeft <= 0) {
+      closeConnection();
+    }
+  }
+
+  private void closeConnection() {
+    if (connection == null) {
+      return;
+    }
+    try (ClientConnection closing = connection) {
+      ClientAnswer last = closing.unaskedAfter();
+      if (last != null) {
+        environment.journal().addUnasked(last);
+      }
+    } catch (IOException e) {
+      Logger.debug("event=close-failed cause={}", e);
+    }
+    connection = null;
+  }
+}
--- /dev/null
+++ b/soak/src/main/java/org/bambooarch/soak/Operator.java
@@ -0,0 +1,138 @@
+package org.bambooarch.soak;
+
+import java.io.IOException;
+import java.net.BindException;
+import java.util.Random;
+import java.util.concurrent.atomic.LongAdder;
+import org.bambooarch.platform.fake.StoreServer;
+import org.tinylog.Logger;
+
+/** Changes the configuration and stops servers and instances while a run lasts. */
+final class Operator {
+
+  /** Shortest time between two actions of one kind, in milliseconds. */
+  private static final int MIN_PAUSE_MILLIS = 500;
+
+  private static final int MAX_BIND_ATTEMPTS = 50;
+  private static final long BIND_PAUSE_MILLIS = 200;
+
+  /** How often each action was taken. */
+  record Counts(
+      LongAdder configs, LongAdder serversKilled, LongAdder killed, LongAdder terminated) {
+
+    Counts() {
+      this(new LongAdder(), new LongAdder(), new LongAdder(), new LongAdder());
+    }
+  }
+
+  /** One action that is repeated. */
+  private interface Action {
+    void run(Random random) throws IOException, InterruptedException;
+  }
+
+  private final StoreServer store;
+  private final SoakServer[] servers;
+  private final InstanceGroup instances;
+  private final RunClock clock;
+  private final Counts counts = new Counts();
+  private int configVersion;
+
+  Operator(StoreServer store, SoakServer[] servers, InstanceGroup instances, RunClock clock) {
+    this.store = store;
+    this.servers = servers;
+    this.instances = instances;
+    this.clock = clock;
+  }
+
+  Counts counts() {
+    return counts;
+  }
+
+  /** Starts all actions, each with its own random numbers. */
+  void start(long seed) {
+    Random seeds = new Random(seed);
+    repeat("configure", 4_000, seeds.nextLong(), this::configure);
+    repeat("kill-server", 700, seeds.nextLong(), this::replaceServer);
+    repeat("kill-instance", 5_000, seeds.nextLong(), random -> restart(random, true));
+    repeat("terminate-instance", 5_000, seeds.nextLong(), random -> restart(random, false));
+    repeat("watch", 500, seeds.nextLong(), random -> instances.restartEnded());
+  }
+
+  private void repeat(String name, int pauseMillis, long seed, Action action) {
+    Random random = new Random(seed);
+    Thread.ofVirtual()
+        .start(
+            () -> {
+              try {
+                while (!clock.isOver()) {
+                  Thread.sleep(MIN_PAUSE_MILLIS + random.nextInt(pauseMillis));
+                  tryOnce(name, action, random);
+                }
+              } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+              }
+            });
+  }
+
+  private static void tryOnce(String name, Action action, Random random)
+      throws InterruptedException {
+    try {
+      action.run(random);
+    } catch (IOException e) {
+      Logger.error(e, "event=action-failed action={}", name);
+    }
+  }
+
+  private void configure(Random random) {
+    configVersion += 1 + random.nextInt(3);
+    store.put(
+        "op",
+        "config",
+        Deployment.config(
+            100 + configVersion, 1_500 + random.nextInt(2_500), random.nextBoolean()));
+    counts.configs().increment();
+  }
+
+  /** Kills a server, which is back at the same address, with its id or a new one. */
+  private void replaceServer(Random random) throws InterruptedException, IOException {
+    int index = random.nextInt(servers.length);
+    SoakServer old = servers[index];
+    old.kill(random.nextBoolean());
+    counts.serversKilled().increment();
+    boolean sameId = random.nextBoolean();
+    Thread.sleep(random.nextInt(1_000));
+    if (clock.isOver()) {
+      return;
+    }
+    String id = sameId ? old.id() : "i-%08x".formatted(random.nextInt());
+    if (!sameId) {
+      store.delete("servers", old.id());
+    }
+    SoakServer started = startAgain(old, id, random);
+    servers[index] = started;
+    store.put("servers", id, started.row());
+  }
+
+  /** Opens a server at the address of a killed one, once the system has released its port. */
+  private static SoakServer startAgain(SoakServer old, String id, Random random)
+      throws IOException, InterruptedException {
+    for (int attempt = 1; ; attempt++) {
+      try {
+        return new SoakServer(
+            id, old.service(), old.zone(), old.address(), random.nextLong(), old.environment());
+      } catch (BindException e) {
+        if (attempt == MAX_BIND_ATTEMPTS) {
+          throw e;
+        }
+        Logger.debug("event=address-in-use server={} attempt={}", id, attempt);
+        Thread.sleep(BIND_PAUSE_MILLIS);
+      }
+    }
+  }
+
+  private void restart(Random random, boolean kill) throws IOException, InterruptedException {
+    if (instances.restart(instances.any(random), kill)) {
+      (kill ? counts.killed() : counts.terminated()).increment();
+    }
+  }
+}
--- /dev/null
+++ b/soak/src/main/java/org/bambooarch/soak/ServerRun.java
@@ -0,0 +1,49 @@
+package org.bambooarch.soak;
+
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * What a server did with one request that it received. It is recorded before the server begins.
+ *
+ * @param requestId value of {@code Request-Id} as received
+ * @param server id of the server
+ * @param connection number of the server's connection
+ * @param order position of the request on that connection, from 1
+ * @param executed whether the request ran, as opposed to a refusal with {@code Not-Executed}
+ * @param repeatable whether the request may run more than once
+ * @param answer the answer that the server decided on
+ * @param second answer that follows the first one without a request, or null
+ * @param fault what the server does wrong while it answers
+ * @param receivedNanos steady clock when the request had been received
+ * @param writtenNanos steady clock when the answer had been written, or 0
+ * @param secondWrittenNanos steady clock when the second answer had been written, or 0
+ */
+record ServerRun(
+    String requestId,
+    String server,
+    long connection,
+    int order,
+    boolean executed,
+    boolean repeatable,
+    Answer answer,
+    Answer second,
+    Fault fault,
+    long receivedNanos,
+    AtomicLong writtenNanos,
+    AtomicLong secondWrittenNanos) {
+
+  /**
+   * An answer as its seal describes it.
+   *
+   * @param status status code
+   * @param seal value of {@code Server-Seal}
+   * @param lengthBytes length of the body
+   * @param hash hash of the body
+   */
+  record Answer(int status, String seal, int lengthBytes, String hash) {
+
+    boolean isSuccess() {
+      return status / 100 == 2;
+    }
+  }
+}
