Tell safe from unsafe requests in the soak's count by id, and leave no process behind

An instance that the operator was starting again when a run ended was started once more: two processes were left after the first run of 75 instances and 233 servers (ended-at-start, status 137, after the report).

--- a/soak/src/main/java/org/bambooarch/soak/InstanceGroup.java
+++ b/soak/src/main/java/org/bambooarch/soak/InstanceGroup.java
@@ -139,7 +139,10 @@
     }
   }
 
-  private void start(Instance instance) throws IOException {
+  private synchronized void start(Instance instance) throws IOException {
+    if (closed) {
+      return;
+    }
     ProcessBuilder builder = new ProcessBuilder(command).directory(root.toFile());
     builder.environment().keySet().retainAll(List.of("PATH", "HOME", "LANG"));
     builder.environment().put("BAMBOOARCH_NODE_FILE", instance.settings.toString());
@@ -151,7 +154,7 @@
 
   private void awaitReady(Instance instance) throws IOException, InterruptedException {
     long startNanos = System.nanoTime();
-    while (System.nanoTime() - startNanos < MAX_START_NANOS) {
+    while (System.nanoTime() - startNanos < MAX_START_NANOS && !closed) {
       if (!instance.process.isAlive()) {
         endedAtStart.incrementAndGet();
         Logger.warn(
@@ -167,7 +170,9 @@
       }
       Thread.sleep(POLL_PAUSE_MILLIS);
     }
-    throw new IOException(instance.name + " did not become ready");
+    if (!closed) {
+      throw new IOException(instance.name + " did not become ready");
+    }
   }
 
   private static boolean isReady(Instance instance) throws IOException {
@@ -273,7 +278,7 @@
   }
 
   @Override
-  public void close() {
+  public synchronized void close() {
     closed = true;
     for (Instance instance : instances) {
       instance.stopping = true;
--- a/soak/src/main/java/org/bambooarch/soak/RequestIdCounts.java
+++ b/soak/src/main/java/org/bambooarch/soak/RequestIdCounts.java
@@ -2,6 +2,7 @@
 
 import java.util.Comparator;
 import java.util.List;
+import java.util.stream.Stream;
 
 /**
  * Counts successes for which a record by request id alone, which ignores the seal, names a failure
@@ -15,13 +16,15 @@
 
   private record Written(long atNanos, int status) {}
 
-  static RequestIdCounts of(Journal journal) {
+  /** Counts either the requests that may run more than once or the others. */
+  static RequestIdCounts of(Journal journal, boolean repeatable) {
     long lastRun = 0;
     long firstRun = 0;
     long afterSecond = 0;
     for (ClientAnswer answer : journal.answers()) {
       List<ServerRun> runs = journal.runsOf(answer.requestId());
-      if (!answer.isSuccess() || !answer.complete() || runs.isEmpty()) {
+      boolean counts = answer.repeatable() == repeatable && !runs.isEmpty();
+      if (!counts || !answer.isSuccess() || !answer.complete()) {
         continue;
       }
       firstRun += runs.getFirst().answer().isSuccess() ? 0 : 1;
@@ -36,8 +39,8 @@
         .flatMap(
             run ->
                 withSecond && run.secondWrittenNanos().get() > 0
-                    ? java.util.stream.Stream.of(first(run), second(run))
-                    : java.util.stream.Stream.of(first(run)))
+                    ? Stream.of(first(run), second(run))
+                    : Stream.of(first(run)))
         .filter(written -> written.atNanos() > 0)
         .max(Comparator.comparingLong(Written::atNanos))
         .map(written -> written.status() / 100 != 2)
--- a/soak/src/main/java/org/bambooarch/soak/ServerConnection.java
+++ b/soak/src/main/java/org/bambooarch/soak/ServerConnection.java
@@ -97,12 +97,11 @@
     order++;
     String expected = head.header("Expect-Instance");
     if (!expected.isEmpty() && !expected.equals(server.id())) {
-      return answer(decide(head, 421, false, fault, receivedNanos, false));
+      return answer(decide(head, 421, false, fault, receivedNanos));
     }
     if (!server.acquireSlot(deadlineNanos)) {
-      return answer(decide(head, 503, false, fault, receivedNanos, false));
+      return answer(decide(head, 503, false, fault, receivedNanos));
     }
-    boolean open;
     Exchange exchange;
     try {
       long workMillis = early ? 1 : server.workMillis(random);
@@ -112,12 +111,12 @@
         status = 504;
         workMillis = Math.max(0, leftMillis);
       }
-      exchange = decide(head, status, true, fault, receivedNanos, fault == Fault.WITHOUT_LENGTH);
+      exchange = decide(head, status, true, fault, receivedNanos);
       Thread.sleep(workMillis);
     } finally {
       server.releaseSlot();
     }
-    open = answer(exchange);
+    boolean open = answer(exchange);
     if (early) {
       reader.readBody(head, false, new ByteArrayOutputStream());
     }
@@ -143,18 +142,13 @@
   private record Exchange(ServerRun run, Message first, Message second) {}
 
   private Exchange decide(
-      MessageReader.Head head,
-      int status,
-      boolean executed,
-      Fault fault,
-      long receivedNanos,
-      boolean withoutLength) {
+      MessageReader.Head head, int status, boolean executed, Fault fault, long receivedNanos) {
     String requestId = head.header("Request-Id");
     boolean framed =
-        !withoutLength
-            && fault != Fault.WITHOUT_LENGTH_CUT_BY_FIN
-            && fault != Fault.WITHOUT_LENGTH_RESET
-            && fault != Fault.WITHOUT_LENGTH;
+        switch (fault) {
+          case WITHOUT_LENGTH, WITHOUT_LENGTH_CUT_BY_FIN, WITHOUT_LENGTH_RESET -> false;
+          default -> true;
+        };
     Message first = message(requestId, status, !executed, framed, fault);
     Message second =
         switch (fault.second()) {
--- a/soak/src/main/java/org/bambooarch/soak/SoakReport.java
+++ b/soak/src/main/java/org/bambooarch/soak/SoakReport.java
@@ -37,10 +37,8 @@
     for (AnswerChecker.Promise promise : AnswerChecker.Promise.values()) {
       add("broken-" + promise, counts.getOrDefault(promise, 0));
     }
-    RequestIdCounts byId = RequestIdCounts.of(journal);
-    add("by-id-last-run-failed", byId.lastRun());
-    add("by-id-first-run-failed", byId.firstRun());
-    add("by-id-after-second-failed", byId.afterSecond());
+    addCountsById("safe", RequestIdCounts.of(journal, true));
+    addCountsById("unsafe", RequestIdCounts.of(journal, false));
     figures.forEach((name, value) -> System.out.println(name + "=" + value));
     Map<AnswerChecker.Promise, Integer> printed = new EnumMap<>(AnswerChecker.Promise.class);
     for (AnswerChecker.Violation violation : violations) {
@@ -51,6 +49,12 @@
     return violations.isEmpty();
   }
 
+  private void addCountsById(String kind, RequestIdCounts counts) {
+    add("by-id-last-run-failed-" + kind, counts.lastRun());
+    add("by-id-first-run-failed-" + kind, counts.firstRun());
+    add("by-id-after-second-failed-" + kind, counts.afterSecond());
+  }
+
   private void addAnswers() {
     Map<String, Integer> statuses = new TreeMap<>();
     int complete = 0;
--- a/soak/src/test/java/org/bambooarch/soak/AnswerCheckerTest.java
+++ b/soak/src/test/java/org/bambooarch/soak/AnswerCheckerTest.java
@@ -22,7 +22,7 @@
     answer("a", 200, "a", second.answer().seal(), LENGTH_BYTES, true);
 
     assertThat(new AnswerChecker(journal).check()).isEmpty();
-    assertThat(RequestIdCounts.of(journal)).isEqualTo(new RequestIdCounts(0, 1, 0));
+    assertThat(RequestIdCounts.of(journal, true)).isEqualTo(new RequestIdCounts(0, 1, 0));
   }
 
   @Test
@@ -32,7 +32,7 @@
     answer("a", 200, "a", run.answer().seal(), LENGTH_BYTES, true);
 
     assertThat(new AnswerChecker(journal).check()).isEmpty();
-    assertThat(RequestIdCounts.of(journal)).isEqualTo(new RequestIdCounts(0, 0, 1));
+    assertThat(RequestIdCounts.of(journal, true)).isEqualTo(new RequestIdCounts(0, 0, 1));
   }
 
   @Test
