Try addresses in use again for some seconds at a start

An instance that was restarted while the run before still held a port ended at once.

Gateway.start tried each address once. It now tries for 3 s, with 0.1 s between two tries and a log line for each failure; the deadline is kept as a time of the injected clock.

--- a/gateway/src/main/java/org/bambooarch/gateway/Gateway.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/Gateway.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.Function;
 import java.util.random.RandomGenerator;
 import org.bambooarch.core.steering.fleet.FleetTable;
@@ -65,6 +66,11 @@
 
   private static final long STOP_POLL_MILLIS = 50;
 
+  /** Longest time for which {@link #start()} tries to listen, in nanoseconds. */
+  private static final long LISTEN_RETRY_NANOS = 3_000_000_000L;
+
+  private static final long LISTEN_RETRY_INTERVAL_NANOS = 100_000_000L;
+
   /** Largest size of a request line, and of all headers together. */
   private static final int MAX_HEADER_BYTES = 64 * 1024;
 
@@ -244,17 +250,48 @@
   /**
    * Starts to listen, to watch the store and to exchange heartbeats with other instances. Returns
    * when all ports are bound; the instance is ready once it has a configuration and the list of
-   * servers. After a failure, nothing listens.
+   * servers. An address that is in use is tried again for some seconds, since an earlier run of the
+   * instance may still hold it. After a failure, nothing listens.
    *
    * @throws IOException if an address cannot be listened on
    */
   public void start() throws IOException {
+    listen();
+    loop.execute(storeSynchronizer::start);
+    loop.scheduleWithFixedDelay(
+        this::tick, ControlState.TICK_MILLIS, ControlState.TICK_MILLIS, TimeUnit.MILLISECONDS);
+    Logger.info(
+        "event=started instance={} incarnation={} data-centre={} callers={}",
+        settings.identity().name(),
+        settings.identity().incarnation(),
+        settings.identity().dataCentre(),
+        settings.identity().callersAddress());
+  }
+
+  private void listen() throws IOException {
+    long deadlineNanos = clock.monotonicNanos() + LISTEN_RETRY_NANOS;
+    while (true) {
+      try {
+        listenOnce();
+        return;
+      } catch (IOException e) {
+        if (clock.monotonicNanos() - deadlineNanos >= 0) {
+          throw e;
+        }
+        Logger.warn("event=listen-failed reason=\"trying again: {}\"", e.getMessage());
+        LockSupport.parkNanos(LISTEN_RETRY_INTERVAL_NANOS);
+      }
+    }
+  }
+
+  private void listenOnce() throws IOException {
     PeerSocket socket = PeerSocket.bind(state, settings.peerAddress(), loop);
     try {
       server.start().join();
     } catch (CompletionException e) {
       socket.close();
-      throw new IOException(e.getCause().getMessage(), e.getCause());
+      String addresses = "one of TCP " + router.addresses();
+      throw new IOException(addresses + ": " + e.getCause().getMessage(), e.getCause());
     }
     peerSocket = Optional.of(socket);
     router.setBoundPorts(
@@ -262,15 +299,6 @@
             .map(ServerPort::localAddress)
             .map(InetSocketAddress::getPort)
             .toList());
-    loop.execute(storeSynchronizer::start);
-    loop.scheduleWithFixedDelay(
-        this::tick, ControlState.TICK_MILLIS, ControlState.TICK_MILLIS, TimeUnit.MILLISECONDS);
-    Logger.info(
-        "event=started instance={} incarnation={} data-centre={} callers={}",
-        settings.identity().name(),
-        settings.identity().incarnation(),
-        settings.identity().dataCentre(),
-        settings.identity().callersAddress());
   }
 
   /**
@@ -385,19 +413,22 @@
    * @return a future that completes when the HTTP server has stopped, also if stopping it failed
    */
   public CompletableFuture<Void> closeAsync() {
-    final CompletableFuture<Void> serverStopped =
-        server
-            .stop()
-            .exceptionally(
-                failure -> {
-                  Logger.warn(
-                      "event=server-stop-failed reason=\"HTTP server did not stop cleanly: {}\"",
-                      failure.toString());
-                  return null;
-                });
+    final CompletableFuture<Void> serverStopped = stop(server);
     loop.submit(storeSynchronizer::stop).syncUninterruptibly();
     loop.submit(targetClient::close).syncUninterruptibly();
     peerSocket.ifPresent(PeerSocket::close);
     return serverStopped;
   }
+
+  private static CompletableFuture<Void> stop(Server server) {
+    return server
+        .stop()
+        .exceptionally(
+            failure -> {
+              Logger.warn(
+                  "event=server-stop-failed reason=\"HTTP server did not stop cleanly: {}\"",
+                  failure.toString());
+              return null;
+            });
+  }
 }
