Start without the metrics address if it is taken

A metrics port in use ended the start, although no client needs it: the metrics shared a server with the addresses that are needed to serve.

The metrics have a server of their own. If its address cannot be bound, the instance logs event=metrics-not-served with the address and serves.

should_start_when_the_metrics_port_is_taken failed before with "bind(..) failed: Address already in use" and passes now.

--- a/gateway/src/main/java/org/bambooarch/gateway/Gateway.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/Gateway.java
@@ -90,6 +90,7 @@
   private final RequestEventLog requestLog;
   private final PortRouter router;
   private final Server server;
+  private final Server metricsServer;
   private final CompletableFuture<Void> stopped = new CompletableFuture<>();
   private volatile Optional<PeerSocket> peerSocket = Optional.empty();
   private long lastHeartbeatNanos;
@@ -178,6 +179,7 @@
     this.relayService = new RelayService(context);
     this.router = router(directoryFormat);
     this.server = server(eventLoops);
+    this.metricsServer = metricsServer(eventLoops);
     this.lastHeartbeatNanos = clock.monotonicNanos();
     registerGauges();
   }
@@ -191,7 +193,6 @@
             new PortRouter.Listener(
                 settings.directoryAddress(),
                 new DirectoryService(state, directoryFormat, settings.lookupTtlMillis())),
-            new PortRouter.Listener(settings.metricsAddress(), (context, request) -> metricsPage()),
             new PortRouter.Listener(settings.peerAddress(), relayService)));
   }
 
@@ -215,6 +216,18 @@
         .build();
   }
 
+  private Server metricsServer(EventLoopGroup eventLoops) {
+    return Server.builder()
+        .http(settings.metricsAddress())
+        .workerGroup(eventLoops, false)
+        .disableServerHeader()
+        .disableDateHeader()
+        .idleTimeoutMillis(CLIENT_IDLE_TIMEOUT_MILLIS)
+        .errorHandler(new LoggingErrorHandler(requestLog, metrics))
+        .service("prefix:/", (context, request) -> metricsPage())
+        .build();
+  }
+
   private HttpResponse metricsPage() {
     try {
       return HttpResponse.of(HttpStatus.OK, MediaType.PLAIN_TEXT_UTF_8, metrics.toText());
@@ -251,12 +264,14 @@
    * Starts to listen, to watch the store and to exchange heartbeats with other instances. Returns
    * when all ports are bound; the instance is ready once it has a configuration and the list of
    * servers. An address that is in use is tried again for some seconds, since an earlier run of the
-   * instance may still hold it. After a failure, nothing listens.
+   * instance may still hold it. Without the metrics' address, the instance serves nevertheless.
+   * After a failure, nothing listens.
    *
    * @throws IOException if an address cannot be listened on
    */
   public void start() throws IOException {
     listen();
+    serveMetrics();
     loop.execute(storeSynchronizer::start);
     loop.scheduleWithFixedDelay(
         this::tick, ControlState.TICK_MILLIS, ControlState.TICK_MILLIS, TimeUnit.MILLISECONDS);
@@ -301,6 +316,17 @@
             .toList());
   }
 
+  private void serveMetrics() {
+    try {
+      metricsServer.start().join();
+    } catch (CompletionException e) {
+      Logger.warn(
+          "event=metrics-not-served reason=\"cannot listen on {}: {}\"",
+          settings.metricsAddress(),
+          e.getCause().getMessage());
+    }
+  }
+
   /**
    * Returns the address that accepts requests of clients, once {@link #start()} has returned: with
    * the port that was bound where the settings name port 0.
@@ -413,11 +439,12 @@
    * @return a future that completes when the HTTP server has stopped, also if stopping it failed
    */
   public CompletableFuture<Void> closeAsync() {
-    final CompletableFuture<Void> serverStopped = stop(server);
+    final CompletableFuture<Void> serversStopped =
+        CompletableFuture.allOf(stop(server), stop(metricsServer));
     loop.submit(storeSynchronizer::stop).syncUninterruptibly();
     loop.submit(targetClient::close).syncUninterruptibly();
     peerSocket.ifPresent(PeerSocket::close);
-    return serverStopped;
+    return serversStopped;
   }
 
   private static CompletableFuture<Void> stop(Server server) {
