Try again only if an address cannot be bound

With event loops that had ended, a gateway tried for 3 s to listen, and wrote a log line for each try ("event executor terminated"), as a run of WarmUpTest showed.

Only an IOException of binding is tried again now; other failures are thrown as they are. GatewayStartTest, WarmUpTest and RequestMethodTest passed.

--- a/gateway/src/main/java/org/bambooarch/gateway/Gateway.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/Gateway.java
@@ -305,6 +305,9 @@
       server.start().join();
     } catch (CompletionException e) {
       socket.close();
+      if (!(e.getCause() instanceof IOException)) {
+        throw e;
+      }
       String addresses = "one of TCP " + router.addresses();
       throw new IOException(addresses + ": " + e.getCause().getMessage(), e.getCause());
     }
--- a/gateway/src/main/java/org/bambooarch/gateway/control/PeerSocket.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/PeerSocket.java
@@ -47,10 +47,11 @@
             .handler(new Receiver(state))
             .bind(address)
             .awaitUninterruptibly();
-    if (!bound.isSuccess()) {
-      throw new IOException("UDP " + address + ": " + bound.cause().getMessage(), bound.cause());
+    if (bound.cause() instanceof IOException cause) {
+      throw new IOException("UDP " + address + ": " + cause.getMessage(), cause);
     }
-    return new PeerSocket(state, bound.channel());
+    // Another failure does not concern the address and is thrown as it is.
+    return new PeerSocket(state, bound.syncUninterruptibly().channel());
   }
 
   /** Sends a heartbeat to every known instance. Called on the event loop only. */
