--- a/cli/src/test/java/org/bambooarch/cli/command/GatewayCommandTest.java
+++ b/cli/src/test/java/org/bambooarch/cli/command/GatewayCommandTest.java
@@ -54,7 +54,8 @@
   }
 
   private static String settings(InetSocketAddress taken) {
-    return """
+    return
+        """
         {"self": {"node": "entry-1", "ip": "127.0.0.1", "zone": "north-a", "region": "north"},
          "network": {"listen": {"front": "127.0.0.1:1", "ready": "127.0.0.1:2",
             "directory": "127.0.0.1:3"}, "internal-ports": [%d], "zones": {"north-a": "north"}},
