--- a/cli/src/test/java/org/bambooarch/cli/command/GatewayCommandTest.java
+++ b/cli/src/test/java/org/bambooarch/cli/command/GatewayCommandTest.java
@@ -21,6 +21,16 @@
 
 class GatewayCommandTest {
 
+  /** Settings of an instance, without the port for other instances. */
+  private static final String SETTINGS =
+      """
+      {"self": {"node": "entry-1", "ip": "127.0.0.1", "zone": "north-a", "region": "north"},
+       "network": {"listen": {"front": "127.0.0.1:1", "ready": "127.0.0.1:2",
+          "directory": "127.0.0.1:3"}, "internal-ports": [%d], "zones": {"north-a": "north"}},
+       "platform": {"platform": {"addr": "127.0.0.1:1"}},
+       "terms": {"bounds": {}}}
+      """;
+
   private static final Signal RELOAD = new Signal("HUP");
 
   private static SignalHandler handlerAfterFailedStart(SignalHandler before, Path settings) {
@@ -53,18 +63,6 @@
     }
   }
 
-  private static String settings(InetSocketAddress taken) {
-    return
-        """
-        {"self": {"node": "entry-1", "ip": "127.0.0.1", "zone": "north-a", "region": "north"},
-         "network": {"listen": {"front": "127.0.0.1:1", "ready": "127.0.0.1:2",
-            "directory": "127.0.0.1:3"}, "internal-ports": [%d], "zones": {"north-a": "north"}},
-         "platform": {"platform": {"addr": "127.0.0.1:1"}},
-         "terms": {"bounds": {}}}
-        """
-        .formatted(taken.getPort());
-  }
-
   // Regression: a port in use ended the process with a stack trace and exit code 1.
   @Test
   void should_name_the_address_when_a_port_is_in_use(@TempDir Path folder) throws IOException {
@@ -76,7 +74,7 @@
     SignalHandler original = Signal.handle(RELOAD, SignalHandler.SIG_IGN);
     PrintStream out = System.out;
     try (DatagramSocket taken = new DatagramSocket(new InetSocketAddress(loopback, 0))) {
-      Files.writeString(file, settings((InetSocketAddress) taken.getLocalSocketAddress()));
+      Files.writeString(file, SETTINGS.formatted(taken.getLocalPort()));
 
       assertThatThrownBy(
               () -> command.run(parser.parse("--settings", file.toString()), Console.ofProcess()))
