Say in explain what joined responses and bytes behind a response were

Both reasons were added where the log of skipped responses met the mends of the decoder, and fell into the sentence for a response without a request, which is not what happened. Not covered by a test of its own.

--- a/cli/src/main/java/org/bambooarch/cli/explain/SkippedResponses.java
+++ b/cli/src/main/java/org/bambooarch/cli/explain/SkippedResponses.java
@@ -39,6 +39,11 @@
     return switch (line.field("reason")) {
       case "other-request" ->
           response + " while it had request " + line.field("request") + ", which was skipped";
+      case "joined-head" ->
+          response + " whose head broke off, and another one behind it; both were dropped";
+      case "bytes-behind-response" ->
+          "server %s sent more bytes behind its response to request %s on connection %s"
+              .formatted(line.field("server"), line.field("request"), line.field("connection"));
       case "second-response" -> response + " a second time, which was skipped";
       default -> response + " when it had no request, which was skipped";
     };
