Judge refusals in the soak by attempt, since attempts may share an id

The printed records show a run that began after the refusal, on behalf of the client's next attempt, which had kept the id. Requests now state their attempt, and a run counts for its own attempt; a run that states none counts for every attempt of its id.

--- a/soak/src/main/java/org/bambooarch/soak/AnswerChecker.java
+++ b/soak/src/main/java/org/bambooarch/soak/AnswerChecker.java
@@ -36,8 +36,8 @@
       if (answer.repeatable()) {
         continue;
       }
-      long executed = runs.stream().filter(ServerRun::executed).count();
-      if (executed > 1 && ranTwice.add(answer.requestId())) {
+      long executed = runs.stream().filter(run -> run.ranFor(answer.attempt())).count();
+      if (executed > 1 && ranTwice.add(answer.requestId() + "#" + answer.attempt())) {
         violations.add(new Violation(Promise.TWICE, "ran " + executed + " times", answer));
       }
       if (executed > 0 && answer.isRefusal()) {
--- a/soak/src/main/java/org/bambooarch/soak/ClientWorker.java
+++ b/soak/src/main/java/org/bambooarch/soak/ClientWorker.java
@@ -12,6 +12,9 @@
 /** One client: sends requests at its own rate, leaves some early and retries after failures. */
 final class ClientWorker implements Runnable {
 
+  /** Header that states the number of the attempt, since attempts may share their id. */
+  static final String ATTEMPT_HEADER = "Client-Attempt";
+
   /** Share of requests whose client leaves early. */
   private static final double LEAVE_SHARE = 0.2;
 
@@ -94,7 +97,7 @@
     try {
       open();
       ClientConnection.Sent sent =
-          connection.send(id, attempt, request.repeatable(), bytes(request, id));
+          connection.send(id, attempt, request.repeatable(), bytes(request, id, attempt));
       if (random.nextDouble() < LEAVE_SHARE) {
         leave(sent);
         return null;
@@ -128,7 +131,7 @@
       Request request = nextRequest(false);
       for (int i = 0; i < requests; i++) {
         String id = nextId();
-        sent.add(connection.send(id, 1, true, bytes(request, id)));
+        sent.add(connection.send(id, 1, true, bytes(request, id, 1)));
       }
       for (ClientConnection.Sent each : sent) {
         environment.journal().add(connection.read(each, request.deadlineMillis() + 1_000));
@@ -164,7 +167,7 @@
         MIN_DEADLINE_MILLIS + random.nextInt(MAX_DEADLINE_MILLIS - MIN_DEADLINE_MILLIS));
   }
 
-  private static byte[] bytes(Request request, String id) {
+  private static byte[] bytes(Request request, String id, int attempt) {
     String head =
         """
         %s %s HTTP/1.1
@@ -172,6 +175,7 @@
         Request-Id: %s
         Deadline-Ms: %d
         Credential: %s
+        %s: %d
         Content-Length: %d
 
         """
@@ -182,6 +186,8 @@
                 id,
                 request.deadlineMillis(),
                 Deployment.API_KEY,
+                ATTEMPT_HEADER,
+                attempt,
                 request.body().length);
     return Messages.join(Messages.bytes(head.replace("\n", "\r\n")), request.body());
   }
--- a/soak/src/main/java/org/bambooarch/soak/ServerConnection.java
+++ b/soak/src/main/java/org/bambooarch/soak/ServerConnection.java
@@ -160,9 +160,11 @@
             yield message(requestId, other, refusal, true, Fault.NONE);
           }
         };
+    String attempt = head.header(ClientWorker.ATTEMPT_HEADER);
     ServerRun run =
         new ServerRun(
             requestId,
+            attempt.isEmpty() ? 0 : Integer.parseInt(attempt),
             server.id(),
             number,
             order,
--- a/soak/src/main/java/org/bambooarch/soak/ServerRun.java
+++ b/soak/src/main/java/org/bambooarch/soak/ServerRun.java
@@ -6,6 +6,7 @@
  * What a server did with one request that it received. It is recorded before the server begins.
  *
  * @param requestId value of {@code Request-Id} as received
+ * @param attempt number of the client's attempt, or 0 if the request did not state it
  * @param server id of the server
  * @param connection number of the server's connection
  * @param order position of the request on that connection, from 1
@@ -20,6 +21,7 @@
  */
 record ServerRun(
     String requestId,
+    int attempt,
     String server,
     long connection,
     int order,
@@ -32,6 +34,11 @@
     AtomicLong writtenNanos,
     AtomicLong secondWrittenNanos) {
 
+  /** Returns whether the request ran on behalf of an attempt, or may have. */
+  boolean ranFor(int clientAttempt) {
+    return executed && (attempt == 0 || attempt == clientAttempt);
+  }
+
   /**
    * An answer as its seal describes it.
    *
--- a/soak/src/test/java/org/bambooarch/soak/AnswerCheckerTest.java
+++ b/soak/src/test/java/org/bambooarch/soak/AnswerCheckerTest.java
@@ -14,6 +14,7 @@
 
   private final Journal journal = new Journal();
   private int seals;
+  private int attempt = 1;
 
   @Test
   void should_accept_the_answer_of_the_successful_run_when_an_earlier_run_failed() {
@@ -117,6 +118,26 @@
     assertBroken(Promise.REFUSED);
   }
 
+  @Test
+  void should_accept_a_refusal_when_the_next_attempt_with_the_same_id_ran() {
+    answer("a", 503, "a", "", 0, false);
+    attempt = 2;
+    ServerRun run = run("a", 200, Fault.NONE, true);
+    answer("a", 200, "a", run.answer().seal(), LENGTH_BYTES, false);
+
+    assertThat(new AnswerChecker(journal).check()).isEmpty();
+  }
+
+  @Test
+  void should_report_a_refusal_when_a_run_of_its_id_states_no_attempt() {
+    attempt = 0;
+    run("a", 200, Fault.NONE, true);
+    attempt = 1;
+    answer("a", 503, "a", "", 0, false);
+
+    assertBroken(Promise.REFUSED);
+  }
+
   private void assertBroken(Promise promise) {
     assertThat(new AnswerChecker(journal).check())
         .extracting(Violation::promise)
@@ -128,6 +149,7 @@
     ServerRun run =
         new ServerRun(
             id,
+            attempt,
             "i-1",
             1,
             seals,
