Refuse settings in which two services have the same port

Requests of clients would have been answered by the service for other instances, which checks no key, if settings named its port at another host; with one address for two services the ports that were bound were assigned to the wrong services. A start whose thread is interrupted no longer tries again without a pause.

--- a/gateway/src/main/java/org/bambooarch/gateway/Gateway.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/Gateway.java
@@ -290,7 +290,8 @@
         listenOnce();
         return;
       } catch (IOException e) {
-        if (clock.monotonicNanos() - deadlineNanos >= 0) {
+        boolean expired = clock.monotonicNanos() - deadlineNanos >= 0;
+        if (expired || Thread.currentThread().isInterrupted()) {
           throw e;
         }
         Logger.warn("event=listen-failed reason=\"trying again: {}\"", e.getMessage());
--- a/gateway/src/main/java/org/bambooarch/gateway/endpoint/PortRouter.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/endpoint/PortRouter.java
@@ -25,21 +25,35 @@
    */
   public record Listener(InetSocketAddress address, HttpService service) {}
 
+  private static final int ANY_PORT = 0;
+
   private final List<Listener> listeners;
   private volatile Map<Integer, HttpService> servicesByPort;
 
-  /** Creates a router; requests on other ports get a 404 response. */
+  /**
+   * Creates a router; requests on other ports get a 404 response.
+   *
+   * @throws IllegalArgumentException if two services have the same port, also at different hosts
+   */
   public PortRouter(List<Listener> listeners) {
     this.listeners = List.copyOf(listeners);
     Map<Integer, HttpService> services = new HashMap<>();
     for (Listener listener : listeners) {
-      services.put(listener.address().getPort(), listener.service());
+      int port = listener.address().getPort();
+      if (services.put(port, listener.service()) != null && port != ANY_PORT) {
+        throw new IllegalArgumentException(
+            "expected a port of its own for each service, but two have port " + port);
+      }
     }
     this.servicesByPort = Map.copyOf(services);
   }
 
   /** Sets the ports that are bound, in the order of {@link #addresses()}. */
   public void setBoundPorts(List<Integer> ports) {
+    if (ports.size() != listeners.size()) {
+      throw new IllegalStateException(
+          "expected %d bound ports but found %s".formatted(listeners.size(), ports));
+    }
     Map<Integer, HttpService> services = new HashMap<>();
     for (int i = 0; i < ports.size(); i++) {
       services.put(ports.get(i), listeners.get(i).service());
