--- a/gateway/src/main/java/org/bambooarch/gateway/target/ResponseDecoder.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/target/ResponseDecoder.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.util.ByteProcessor;
 
 /**
  * Decodes the responses of one server connection, which has one request at a time.
@@ -27,9 +28,13 @@
     headRequest = method.equals(HttpMethod.HEAD.name());
   }
 
-  /** Returns whether bytes have been read behind the last object that was decoded. */
+  /**
+   * Returns whether bytes have been read behind the last object that was decoded. Line breaks do
+   * not count, which the decoder skips in front of the next response.
+   */
   boolean hasUndecodedBytes() {
-    return actualReadableBytes() > 0;
+    return actualReadableBytes() > 0
+        && internalBuffer().forEachByte(ByteProcessor.FIND_NON_CRLF) >= 0;
   }
 
   @Override
--- a/gateway/src/test/java/org/bambooarch/gateway/target/SkippedResponseTest.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/target/SkippedResponseTest.java
@@ -139,6 +139,16 @@
     assertThat(channel.isActive()).isFalse();
   }
 
+  // Regression: a server that ends its responses with a line break lost its connection each time.
+  @Test
+  void should_keep_the_connection_when_line_breaks_follow_a_response() {
+    send(connection, "r1");
+    receive(response(200, "r1") + "\r\n\r\n");
+
+    assertThat(skipped).isEmpty();
+    assertThat(channel.isActive()).isTrue();
+  }
+
   @Test
   void should_name_the_received_id_when_a_response_arrives_before_any_request() {
     receive(response(404, "r7"));
