Take a head for two joined ones only if the request's id follows

A status line now is one that no address can be, and in a header value it counts only if the id of the request in progress stands behind it. A server that states such a line itself, in front of the id, is still refused.

--- a/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnection.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnection.java
@@ -276,7 +276,7 @@
       onUnrequested(Optional.of(head));
       return;
     }
-    if (JoinedHead.matches(head)) {
+    if (JoinedHead.matches(head, requestId)) {
       String receivedId = format.readServerResponse(head).requestId();
       pool.onUnsolicitedResponse(history.onJoinedHead(receivedId, head.status().code()));
       failRequest("the server sent a response whose head broke off and another one behind it");
