--- a/soak/src/main/java/org/bambooarch/soak/ClientWorker.java
+++ b/soak/src/main/java/org/bambooarch/soak/ClientWorker.java
@@ -92,15 +92,18 @@
     }
   }
 
-  /** Returns the answer, or null if the client left or got no connection. */
+  /**
+   * Returns the answer, or null if the client got no connection or has left; one that keeps its ids
+   * may try again after it has left.
+   */
   private ClientAnswer attempt(Request request, String id, int attempt) {
     try {
       open();
       ClientConnection.Sent sent =
           connection.send(id, attempt, request.repeatable(), bytes(request, id, attempt));
       if (random.nextDouble() < LEAVE_SHARE) {
-        leave(sent);
-        return null;
+        ClientAnswer left = leave(sent);
+        return environment.sameIds() ? left : null;
       }
       ClientAnswer answer = connection.read(sent, request.deadlineMillis() + 1_000);
       environment.journal().add(answer);
@@ -114,7 +117,7 @@
     }
   }
 
-  private void leave(ClientConnection.Sent sent) throws IOException {
+  private ClientAnswer leave(ClientConnection.Sent sent) throws IOException {
     environment.left().increment();
     ClientAnswer answer = connection.read(sent, 1 + random.nextInt(200));
     environment.journal().add(answer);
@@ -122,6 +125,7 @@
       connection.reset();
     }
     closeConnection();
+    return answer;
   }
 
   private void pipeline(int requests) {
--- a/soak/src/main/java/org/bambooarch/soak/SoakMain.java
+++ b/soak/src/main/java/org/bambooarch/soak/SoakMain.java
@@ -40,7 +40,8 @@
         option(parser, "faults", "factor for the shares of server faults", Double.class, 1.0);
     OptionSpec<Integer> group =
         option(parser, "stagger", "instances that start at the same time", Integer.class, 8);
-    OptionSpec<Void> sameIds = parser.accepts("same-ids", "retries keep the request's id");
+    OptionSpec<Void> sameIds =
+        parser.accepts("same-ids", "retries keep the request's id, also after a client left");
     OptionSpec<Void> calm = parser.accepts("calm", "the operator does nothing");
     OptionSpec<String> keepLogs =
         parser.accepts("keep-logs", "folder for logs").withRequiredArg().ofType(String.class);
