--- a/soak/src/main/java/org/bambooarch/soak/Deployment.java
+++ b/soak/src/main/java/org/bambooarch/soak/Deployment.java
@@ -7,26 +7,24 @@
 final class Deployment {
 
   static final String HOST = "shop.example";
-  static final String API_KEY = "9anu6wsjnbanfqasnmgk";
+  static final String API_KEY = "soak-key";
   static final String SAFE_PREFIX = "read-";
   static final String UNSAFE_PREFIX = "order-";
   static final List<String> SERVICES = List.of("catalogue", "search", "desk");
-  static final List<String> ZONES = List.of("kochi-a", "kochi-b", "tvm-a");
+  static final List<String> ZONES = List.of("north-a", "north-b", "south-a");
 
-  /** Servers of each service in a deployment of the full size. */
-  private static final int[] SERVICE_SIZES = {132, 60, 41};
-
-  private static final int FULL_SIZE = 233;
+  /** Share of the servers that the first service has, and the first two together. */
+  private static final double[] SHARES = {0.5, 0.8};
 
   private Deployment() {}
 
-  /** Returns the service of server {@code index} of {@code servers}, in the sizes' proportion. */
+  /** Returns the service of server {@code index} of {@code servers}. */
   static String serviceOf(int index, int servers) {
-    int scaled = index * FULL_SIZE / servers;
-    if (scaled < SERVICE_SIZES[0]) {
+    double position = (double) index / servers;
+    if (position < SHARES[0]) {
       return SERVICES.get(0);
     }
-    return SERVICES.get(scaled < SERVICE_SIZES[0] + SERVICE_SIZES[1] ? 1 : 2);
+    return SERVICES.get(position < SHARES[1] ? 1 : 2);
   }
 
   /**
