--- a/soak/src/main/java/org/bambooarch/soak/ClientAnswer.java
+++ b/soak/src/main/java/org/bambooarch/soak/ClientAnswer.java
@@ -11,7 +11,7 @@
  * @param repeatable whether the request may run more than once
  * @param status status code, or 0 if no head was read
  * @param answeredId {@code Request-Id} of the answer, or empty
- * @param seal {@code Server-Seal} of the answer, or empty
+ * @param seal mark of the server that gave the answer, or empty
  * @param lengthBytes bytes of the body that were read
  * @param hash hash of these bytes
  * @param complete whether the answer was complete by its framing
--- a/soak/src/main/java/org/bambooarch/soak/ClientConnection.java
+++ b/soak/src/main/java/org/bambooarch/soak/ClientConnection.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import org.bambooarch.platform.fake.WireNames;
 
 /** A client's connection to an instance: sends requests and reads answers in their order. */
 final class ClientConnection implements AutoCloseable {
@@ -91,7 +92,7 @@
             sent.repeatable(),
             status,
             head == null ? "" : head.header("Request-Id"),
-            head == null ? "" : head.header("Server-Seal"),
+            head == null ? "" : head.header(WireNames.SERVER_MARK),
             bytes.length,
             Messages.hash(bytes),
             problem.isEmpty(),
--- a/soak/src/main/java/org/bambooarch/soak/InstanceGroup.java
+++ b/soak/src/main/java/org/bambooarch/soak/InstanceGroup.java
@@ -13,6 +13,7 @@
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.bambooarch.platform.fake.WireNames;
 import org.tinylog.Logger;
 
 /** The entry instances: processes with loopback addresses of their own. */
@@ -145,7 +146,7 @@
     }
     ProcessBuilder builder = new ProcessBuilder(command).directory(root.toFile());
     builder.environment().keySet().retainAll(List.of("PATH", "HOME", "LANG"));
-    builder.environment().put("BAMBOOARCH_NODE_FILE", instance.settings.toString());
+    builder.environment().put(WireNames.SETTINGS_VARIABLE, instance.settings.toString());
     builder.redirectErrorStream(true);
     builder.redirectOutput(
         ProcessBuilder.Redirect.appendTo(logs.resolve(instance.name + ".log").toFile()));
--- a/soak/src/main/java/org/bambooarch/soak/ServerConnection.java
+++ b/soak/src/main/java/org/bambooarch/soak/ServerConnection.java
@@ -9,6 +9,7 @@
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import org.bambooarch.platform.fake.WireNames;
 import org.tinylog.Logger;
 
 /** A connection to a server, which serves one request at a time on it. */
@@ -95,7 +96,7 @@
       return serveHealth(deadlineNanos);
     }
     order++;
-    String expected = head.header("Expect-Instance");
+    String expected = head.header(WireNames.EXPECTED_SERVER);
     if (!expected.isEmpty() && !expected.equals(server.id())) {
       return answer(decide(head, 421, false, fault, receivedNanos));
     }
@@ -130,12 +131,14 @@
     }
     write(
         Messages.bytes(
-            "HTTP/1.1 %s\r\nInstance-Id: %s\r\nServer-Load: %s\r\n%sContent-Length: 0\r\n\r\n"
+            "HTTP/1.1 %s\r\n%s: %s\r\n%s: %s\r\n%sContent-Length: 0\r\n\r\n"
                 .formatted(
                     healthy ? "200 OK" : "503 Full",
+                    WireNames.SERVER_ID,
                     server.id(),
+                    WireNames.LOAD,
                     server.load(),
-                    healthy ? "" : "Not-Executed: 1\r\n")));
+                    healthy ? "" : WireNames.NOT_RUN + ": 1\r\n")));
     return true;
   }
 
@@ -191,10 +194,10 @@
                 server.id(), environment.seals().incrementAndGet(), status, body.length, hash);
     StringBuilder head = new StringBuilder();
     head.append("HTTP/1.1 ").append(status).append(" X\r\nRequest-Id: ").append(requestId);
-    head.append("\r\nServer-Seal: ").append(seal);
-    head.append("\r\nServer-Load: ").append(server.load()).append("\r\n");
+    head.append("\r\n" + WireNames.SERVER_MARK + ": ").append(seal);
+    head.append("\r\n" + WireNames.LOAD + ": ").append(server.load()).append("\r\n");
     if (refusal) {
-      head.append("Not-Executed: 1\r\n");
+      head.append(WireNames.NOT_RUN + ": 1\r\n");
     }
     if (fault == Fault.CONNECTION_CLOSE) {
       head.append("Connection: close\r\n");
--- a/soak/src/main/java/org/bambooarch/soak/ServerRun.java
+++ b/soak/src/main/java/org/bambooarch/soak/ServerRun.java
@@ -10,7 +10,7 @@
  * @param server id of the server
  * @param connection number of the server's connection
  * @param order position of the request on that connection, from 1
- * @param executed whether the request ran, as opposed to a refusal with {@code Not-Executed}
+ * @param executed whether the request ran, as opposed to a refusal
  * @param repeatable whether the request may run more than once
  * @param answer the answer that the server decided on
  * @param second answer that follows the first one without a request, or null
@@ -43,7 +43,7 @@
    * An answer as its seal describes it.
    *
    * @param status status code
-   * @param seal value of {@code Server-Seal}
+   * @param seal mark of the server
    * @param lengthBytes length of the body
    * @param hash hash of the body
    */
--- a/soak/src/main/java/org/bambooarch/soak/SoakServer.java
+++ b/soak/src/main/java/org/bambooarch/soak/SoakServer.java
@@ -130,7 +130,7 @@
     slots.release();
   }
 
-  /** Returns the value of {@code Server-Load}. */
+  /** Returns the load that responses state: running and waiting requests, and slots. */
   String load() {
     return (SLOTS - slots.availablePermits()) + "," + waiting.get() + "," + SLOTS;
   }
