--- a/soak/src/main/java/org/bambooarch/soak/ClientConnection.java
+++ b/soak/src/main/java/org/bambooarch/soak/CallerConnection.java
@@ -7,7 +7,7 @@
 import org.bambooarch.platform.fake.WireNames;
 
 /** A client's connection to an instance: sends requests and reads answers in their order. */
-final class ClientConnection implements AutoCloseable {
+final class CallerConnection implements AutoCloseable {
 
   /** Longest time that a client waits for a connection, in milliseconds. */
   private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
@@ -23,7 +23,7 @@
   private boolean closing;
   private ClientAnswer lastAnswer;
 
-  ClientConnection(String instance, InetSocketAddress address, long number) throws IOException {
+  CallerConnection(String instance, InetSocketAddress address, long number) throws IOException {
     this.instance = instance;
     this.number = number;
     try {
--- a/soak/src/main/java/org/bambooarch/soak/ClientWorker.java
+++ b/soak/src/main/java/org/bambooarch/soak/ClientWorker.java
@@ -47,7 +47,7 @@
 
   private final Environment environment;
   private final Random random;
-  private ClientConnection connection;
+  private CallerConnection connection;
   private int usesLeft;
 
   ClientWorker(Environment environment, long seed) {
@@ -99,7 +99,7 @@
   private ClientAnswer attempt(Request request, String id, int attempt) {
     try {
       open();
-      ClientConnection.Sent sent =
+      CallerConnection.Sent sent =
           connection.send(id, attempt, request.repeatable(), bytes(request, id, attempt));
       if (random.nextDouble() < LEAVE_SHARE) {
         ClientAnswer left = leave(sent);
@@ -117,7 +117,7 @@
     }
   }
 
-  private ClientAnswer leave(ClientConnection.Sent sent) throws IOException {
+  private ClientAnswer leave(CallerConnection.Sent sent) throws IOException {
     environment.left().increment();
     ClientAnswer answer = connection.read(sent, 1 + random.nextInt(200));
     environment.journal().add(answer);
@@ -131,13 +131,13 @@
   private void pipeline(int requests) {
     try {
       open();
-      List<ClientConnection.Sent> sent = new ArrayList<>();
+      List<CallerConnection.Sent> sent = new ArrayList<>();
       Request request = nextRequest(false);
       for (int i = 0; i < requests; i++) {
         String id = nextId();
         sent.add(connection.send(id, 1, true, bytes(request, id, 1)));
       }
-      for (ClientConnection.Sent each : sent) {
+      for (CallerConnection.Sent each : sent) {
         environment.journal().add(connection.read(each, request.deadlineMillis() + 1_000));
         if (!connection.isOpen()) {
           break;
@@ -160,8 +160,9 @@
   }
 
   private Request nextRequest(boolean unsafe) {
-    String service = Deployment.SERVICES.get(random.nextInt(Deployment.SERVICES.size()));
-    String prefix = unsafe ? Deployment.UNSAFE_PREFIX : Deployment.SAFE_PREFIX;
+    String service =
+        PlayedDeployment.SERVICES.get(random.nextInt(PlayedDeployment.SERVICES.size()));
+    String prefix = unsafe ? PlayedDeployment.UNSAFE_PREFIX : PlayedDeployment.SAFE_PREFIX;
     boolean longBody = random.nextDouble() < LONG_BODY_SHARE;
     int length = longBody ? LONG_BODY_BYTES : unsafe ? random.nextInt(500) : 0;
     return new Request(
@@ -186,10 +187,10 @@
             .formatted(
                 request.body().length > 0 ? "POST" : "GET",
                 request.target(),
-                Deployment.HOST,
+                PlayedDeployment.HOST,
                 id,
                 request.deadlineMillis(),
-                Deployment.API_KEY,
+                PlayedDeployment.API_KEY,
                 ATTEMPT_HEADER,
                 attempt,
                 request.body().length);
@@ -209,7 +210,7 @@
     }
     InstanceGroup.Instance instance = environment.instances().anyReady(random);
     connection =
-        new ClientConnection(
+        new CallerConnection(
             instance.name(), instance.front(), environment.connections().incrementAndGet());
     usesLeft = random.nextDouble() < SINGLE_USE_SHARE ? 1 : 2 + random.nextInt(20);
   }
@@ -225,7 +226,7 @@
     if (connection == null) {
       return;
     }
-    try (ClientConnection closing = connection) {
+    try (CallerConnection closing = connection) {
       ClientAnswer last = closing.unaskedAfter();
       if (last != null) {
         environment.journal().addUnasked(last);
--- a/soak/src/main/java/org/bambooarch/soak/InstanceGroup.java
+++ b/soak/src/main/java/org/bambooarch/soak/InstanceGroup.java
@@ -75,7 +75,7 @@
     this.logs = logs;
     command = command(root);
     for (int i = 0; i < size; i++) {
-      String zone = Deployment.ZONES.get(i % Deployment.ZONES.size());
+      String zone = PlayedDeployment.ZONES.get(i % PlayedDeployment.ZONES.size());
       String name = "front-" + zone + "-" + (i + 1);
       String ip = network + "." + (11 + i);
       Path settings = logs.resolve(name + ".json");
--- a/soak/src/main/java/org/bambooarch/soak/Operator.java
+++ b/soak/src/main/java/org/bambooarch/soak/Operator.java
@@ -88,7 +88,7 @@
     store.put(
         "op",
         "config",
-        Deployment.config(
+        PlayedDeployment.config(
             100 + configVersion, 1_500 + random.nextInt(2_500), random.nextBoolean()));
     counts.configs().increment();
   }
--- a/soak/src/main/java/org/bambooarch/soak/Deployment.java
+++ b/soak/src/main/java/org/bambooarch/soak/PlayedDeployment.java
@@ -4,7 +4,7 @@
 import java.util.List;
 
 /** Host, routes, services and tenant of the deployment, as the operator writes them. */
-final class Deployment {
+final class PlayedDeployment {
 
   static final String HOST = "shop.example";
   static final String API_KEY = "soak-key";
@@ -16,7 +16,7 @@
   /** Share of the servers that the first service has, and the first two together. */
   private static final double[] SHARES = {0.5, 0.8};
 
-  private Deployment() {}
+  private PlayedDeployment() {}
 
   /** Returns the service of server {@code index} of {@code servers}. */
   static String serviceOf(int index, int servers) {
--- a/soak/src/main/java/org/bambooarch/soak/ServerConnection.java
+++ b/soak/src/main/java/org/bambooarch/soak/ServerConnection.java
@@ -172,7 +172,7 @@
             number,
             order,
             executed,
-            !head.startLine().contains(" /" + Deployment.UNSAFE_PREFIX),
+            !head.startLine().contains(" /" + PlayedDeployment.UNSAFE_PREFIX),
             first.answer(),
             second == null ? null : second.answer(),
             fault,
--- a/soak/src/main/java/org/bambooarch/soak/Soak.java
+++ b/soak/src/main/java/org/bambooarch/soak/Soak.java
@@ -62,7 +62,7 @@
         InstanceGroup instances =
             new InstanceGroup(root, logs, network, plan.instances(), store.address())) {
       Runtime.getRuntime().addShutdownHook(new Thread(instances::close));
-      store.put("op", "config", Deployment.config(1, 3_000, false));
+      store.put("op", "config", PlayedDeployment.config(1, 3_000, false));
       LongAdder healthChecks = new LongAdder();
       SoakServer[] servers = startServers(store, network, faults, healthChecks);
       instances.startAll(plan.startGroup());
@@ -111,8 +111,8 @@
       SoakServer server =
           new SoakServer(
               "i-%08x".formatted(seeds.nextInt()),
-              Deployment.serviceOf(i, servers.length),
-              Deployment.ZONES.get(i % Deployment.ZONES.size()),
+              PlayedDeployment.serviceOf(i, servers.length),
+              PlayedDeployment.ZONES.get(i % PlayedDeployment.ZONES.size()),
               new InetSocketAddress(InetAddress.getByName(ip), 0),
               seeds.nextLong(),
               environment);
