Show that lost and late calls take lists past their bound

The new test plays the real StoreSynchronizer and ControlState of 1 to 10 instances with a simulated store, without sockets: responses are lost or late, calls hear nothing for a second before the history is dropped, the store falls silent, event loops pause, instances are killed, heartbeats are lost. An instance is excused while the store was silent in the last 3 s, or with four calls of its own lost since the change.

--- /dev/null
+++ b/gateway/src/test/java/org/bambooarch/gateway/control/ListAgeFixture.java
@@ -0,0 +1,25 @@
+package org.bambooarch.gateway.control;
+
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.util.random.RandomGenerator;
+import org.bambooarch.gateway.spi.ControlStore;
+
+/** How {@link ListAgeRun} creates the parts under test and asks whether they serve. */
+final class ListAgeFixture {
+
+  private ListAgeFixture() {}
+
+  static StoreSynchronizer synchronizer(
+      ControlStore store,
+      ControlState state,
+      EmbeddedChannel channel,
+      RandomGenerator random,
+      Runnable sendHeartbeats) {
+    return new StoreSynchronizer(
+        store, state, channel.eventLoop(), random, ListAgeRun.CONTACT_MILLIS);
+  }
+
+  static boolean serves(ControlState state) {
+    return state.isReady();
+  }
+}
--- a/gateway/src/test/java/org/bambooarch/gateway/control/ListWatcherTest.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/control/ListWatcherTest.java
@@ -130,9 +130,13 @@
   }
 
   static GatewaySettings settings() {
+    return settings(new InstanceIdentity("entry-1", 1, "north", "north-a", "a:1", "a:2"));
+  }
+
+  static GatewaySettings settings(InstanceIdentity identity) {
     InetSocketAddress any = new InetSocketAddress(0);
     return new GatewaySettings(
-        new InstanceIdentity("entry-1", 1, "north", "north-a", "a:1", "a:2"),
+        identity,
         any,
         any,
         any,
