Register again beside a registration without response

What callers could see: after a start whose registration or first read of the instances got no response, the instance knew of no other one for 2.5 s and up to 1.4 s more, each time, while it already served.

Cause: the next registration waited until the one before had failed. Now it is made after 0.7 to 1.4 s beside the calls in progress, until one of them has succeeded.

StoreSynchronizerTest.should_register_again_beside_a_call_without_response failed before: one registration in 2 s.

--- a/gateway/src/main/java/org/bambooarch/gateway/control/StoreSynchronizer.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/StoreSynchronizer.java
@@ -5,11 +5,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.bambooarch.core.steering.fleet.InstanceIdentity;
 import org.bambooarch.gateway.ListAgeBounds;
 import org.bambooarch.gateway.spi.ControlStore;
+import org.bambooarch.gateway.spi.ControlUpdate;
 import org.bambooarch.gateway.spi.Topic;
 import org.tinylog.Logger;
 
@@ -25,10 +25,11 @@
  */
 public final class StoreSynchronizer {
 
-  /**
-   * Shortest delay before registering is retried, to which up to the same time is added at random.
-   */
-  private static final long MIN_REGISTER_RETRY_MILLIS = 700;
+  /** Shortest time for which a registration is given before it is made once more. */
+  private static final long MIN_REGISTER_PATIENCE_MILLIS = 700;
+
+  /** Longest time for which a registration is given before it is made once more. */
+  private static final long MAX_REGISTER_PATIENCE_MILLIS = 1_400;
 
   private final ControlStore store;
   private final ControlState state;
@@ -36,6 +37,9 @@
   private final RandomGenerator random;
   private final Map<Topic, ListWatcher> watchers = new EnumMap<>(Topic.class);
   private final StoreEra era = new StoreEra(this::onNewEra);
+  private boolean started;
+  private boolean registered;
+  private long nextRegisterNanos;
   private boolean stopped;
 
   /**
@@ -80,6 +84,7 @@
 
   /** Starts to watch the lists, and registers this instance. */
   public void start() {
+    started = true;
     watchers.values().forEach(ListWatcher::start);
     register();
   }
@@ -106,6 +111,13 @@
    */
   public void tick() {
     watchers.values().forEach(ListWatcher::tick);
+    if (started && !stopped && !registered && isRegisterDue()) {
+      register();
+    }
+  }
+
+  private boolean isRegisterDue() {
+    return state.clock().monotonicNanos() - nextRegisterNanos >= 0;
   }
 
   /** Asks the store whether operators have written a newer configuration. */
@@ -116,35 +128,41 @@
   private void onNewEra() {
     state.onStoreReverted();
     watchers.values().forEach(ListWatcher::onNewEra);
-    register();
+    registered = false;
+    if (!stopped) {
+      register();
+    }
   }
 
   private InstanceIdentity identity() {
     return state.fleet().self();
   }
 
+  /**
+   * Registers this instance and reads the list of instances. Repeated beside the calls in progress
+   * until one of them succeeds, since a lost response would be noticed late.
+   */
   private void register() {
-    if (stopped) {
-      return;
-    }
+    long patienceMillis =
+        random.nextLong(MIN_REGISTER_PATIENCE_MILLIS, MAX_REGISTER_PATIENCE_MILLIS + 1);
+    nextRegisterNanos = state.clock().monotonicNanos() + patienceMillis * 1_000_000L;
+    long registeredEra = era.current();
     store
         .register(identity())
         .thenCompose(done -> store.read(Topic.INSTANCES))
-        .whenCompleteAsync(
-            (list, failure) -> {
-              if (failure == null) {
-                state.replaceList(Topic.INSTANCES, list);
-                Logger.info("event=announced instances={}", state.fleet().knownInstances());
-                return;
-              }
-              Logger.warn(
-                  "event=announce-failed reason=\"registering or reading the instances failed,"
-                      + " retrying: {}\"",
-                  failure.toString());
-              long retryDelayMillis =
-                  MIN_REGISTER_RETRY_MILLIS + random.nextLong(MIN_REGISTER_RETRY_MILLIS);
-              loop.schedule(this::register, retryDelayMillis, TimeUnit.MILLISECONDS);
-            },
-            loop);
+        .whenCompleteAsync((list, failure) -> onRegistered(registeredEra, list, failure), loop);
+  }
+
+  private void onRegistered(long registeredEra, ControlUpdate list, Throwable failure) {
+    if (failure == null) {
+      registered |= registeredEra == era.current();
+      state.replaceList(Topic.INSTANCES, list);
+      Logger.info("event=announced instances={}", state.fleet().knownInstances());
+      return;
+    }
+    Logger.warn(
+        "event=announce-failed reason=\"registering or reading the instances failed,"
+            + " retrying: {}\"",
+        failure.toString());
   }
 }
--- a/gateway/src/test/java/org/bambooarch/gateway/control/StoreSynchronizerTest.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/control/StoreSynchronizerTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.netty.channel.embedded.EmbeddedChannel;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -41,6 +42,8 @@
 
   /** A store that loses the response to the first watch of the operators' list. */
   private static final class LosingStore implements ControlStore {
+    private final List<CompletableFuture<Void>> registrations = new ArrayList<>();
+    private boolean losesRegistrations;
     private int operatorWatches;
     private int serverWatches;
 
@@ -65,7 +68,12 @@
 
     @Override
     public CompletableFuture<Void> register(InstanceIdentity instance) {
-      return CompletableFuture.completedFuture(null);
+      CompletableFuture<Void> registration = new CompletableFuture<>();
+      if (!losesRegistrations) {
+        registration.complete(null);
+      }
+      registrations.add(registration);
+      return registration;
     }
 
     @Override
@@ -172,4 +180,23 @@
 
     assertThat(store.operatorWatches).isLessThanOrEqualTo(9);
   }
+
+  // The class of incidents CONFIG and DRAIN: a lost response was noticed after 2.5 s only, and
+  // until
+  // then an instance that had started knew of no other one.
+  @Test
+  void should_register_again_beside_a_call_without_response() {
+    store.losesRegistrations = true;
+    start();
+    runTicks(20, 7);
+    assertThat(store.registrations).hasSizeBetween(2, 3);
+    assertThat(state.fleet().isListRead()).isFalse();
+
+    store.losesRegistrations = false;
+    runTicks(20, 7);
+    int registrations = store.registrations.size();
+    runTicks(50, 7);
+    assertThat(state.fleet().isListRead()).isTrue();
+    assertThat(store.registrations).hasSize(registrations);
+  }
 }
