Give servers without entries no grace that the store's outage does not call for

Cause: any failed call counted as an outage of the store, after which a server without an entry gets requests for 1.5 s, counted from the moment at which this instance reached the store again. Entries of running servers lapse only after three heartbeats of silence, and the store may have been back for others for long.

Now the grace needs a list whose last confirmation is older than two heartbeat intervals of the servers, and it counts from the first confirmation that another instance has told of since.

ListAgeRandomTest now lets a quarter of the servers leave without a notice.

--- a/core/src/main/java/org/bambooarch/core/steering/place/ServerTable.java
+++ b/core/src/main/java/org/bambooarch/core/steering/place/ServerTable.java
@@ -59,9 +59,13 @@
     return loaded;
   }
 
-  /** Starts the grace for lapsed entries; call when the store responds again after an outage. */
-  public void onStoreReturned(long nowNanos) {
-    graceEndNanos = nowNanos + LAPSE_GRACE_NANOS;
+  /**
+   * Starts the grace for lapsed entries; call when the store responds again after an outage.
+   *
+   * @param returnedNanos monotonic time of the store's return, as early as it is known
+   */
+  public void onStoreReturned(long returnedNanos) {
+    graceEndNanos = returnedNanos + LAPSE_GRACE_NANOS;
     graceStarted = true;
   }
 
--- a/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
@@ -270,6 +270,19 @@
     return listProgress.confirmedStoreMillis(topic);
   }
 
+  /**
+   * Records that the store responds again to this instance. It may have responded to others before.
+   *
+   * @param minLapseNanos shortest outage in which entries of running servers can lapse
+   */
+  void onStoreRegained(long minLapseNanos) {
+    if (listAgeNanos(Topic.SERVERS) < minLapseNanos) {
+      return;
+    }
+    servers.onStoreReturned(
+        listProgress.confirmedForOthersNanos(Topic.SERVERS).orElse(clock.monotonicNanos()));
+  }
+
   /**
    * Returns for how long another instance has been known to have a newer state of a list than this
    * one, in nanoseconds; 0 if none has.
--- a/gateway/src/main/java/org/bambooarch/gateway/control/ListProgress.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ListProgress.java
@@ -30,6 +30,8 @@
     private long confirmedStoreMillis;
     private boolean behind;
     private long behindSinceNanos;
+    private boolean confirmedForOthers;
+    private long confirmedForOthersNanos;
   }
 
   private final Map<Topic, Progress> progresses = new EnumMap<>(Topic.class);
@@ -84,6 +86,7 @@
     progress.readUpTo = Math.max(progress.readUpTo, update.version());
     progress.newestChange = Math.max(progress.newestChange, update.newestChange());
     confirm(progress, update.storeMillis(), asOfNanos, receivedNanos);
+    progress.confirmedForOthers = false;
     updateBehind(progress, receivedNanos);
   }
 
@@ -125,6 +128,11 @@
       if (sameContent && asOfNanos.isPresent()) {
         confirm(progress, other.confirmedStoreMillis(), progress.confirmedNanos, nowNanos);
       }
+      boolean newer = other.confirmedStoreMillis() > progress.confirmedStoreMillis;
+      if (newer && asOfNanos.isPresent() && !progress.confirmedForOthers) {
+        progress.confirmedForOthers = true;
+        progress.confirmedForOthersNanos = Math.min(asOfNanos.getAsLong(), nowNanos);
+      }
     }
     updateBehind(progress, nowNanos);
   }
@@ -149,6 +157,17 @@
     return progress.behind ? nowNanos - progress.behindSinceNanos : 0;
   }
 
+  /**
+   * Returns the first time since this instance has last read a list at which the store responded to
+   * another one that knows other content; empty if it has not.
+   */
+  OptionalLong confirmedForOthersNanos(Topic topic) {
+    Progress progress = progresses.get(topic);
+    return progress.confirmedForOthers
+        ? OptionalLong.of(progress.confirmedForOthersNanos)
+        : OptionalLong.empty();
+  }
+
   /** Returns the time since the last confirmation of a list, in nanoseconds. */
   long ageNanos(Topic topic, long nowNanos) {
     return nowNanos - progresses.get(topic).confirmedNanos;
--- a/gateway/src/main/java/org/bambooarch/gateway/control/ListWatcher.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ListWatcher.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
+import org.bambooarch.gateway.ListAgeBounds;
 import org.bambooarch.gateway.spi.ControlStore;
 import org.bambooarch.gateway.spi.ControlStoreException;
 import org.bambooarch.gateway.spi.ControlUpdate;
@@ -66,6 +67,7 @@
   private final RandomGenerator random;
   private final StoreEra era;
   private final ConfirmationSchedule schedule;
+  private final long minLapseNanos;
   private final Listener listener;
   private boolean started;
   private boolean stopped;
@@ -100,7 +102,7 @@
   /**
    * Creates a watcher that makes no calls until {@link #start()}.
    *
-   * @param boundMillis longest age at which the list may be used, in milliseconds
+   * @param bounds longest ages at which the lists may be used
    * @param listener learns of responses
    */
   ListWatcher(
@@ -110,7 +112,7 @@
       EventLoop loop,
       RandomGenerator random,
       StoreEra era,
-      long boundMillis,
+      ListAgeBounds bounds,
       Listener listener) {
     this.topic = topic;
     this.store = store;
@@ -118,7 +120,8 @@
     this.loop = loop;
     this.random = random;
     this.era = era;
-    this.schedule = new ConfirmationSchedule(topic, state, boundMillis);
+    this.schedule = new ConfirmationSchedule(topic, state, bounds.millisOf(topic));
+    this.minLapseNanos = bounds.minLapseMillis() * 1_000_000L;
     this.listener = listener;
   }
 
@@ -347,7 +350,7 @@
     storeReachable = true;
     state.onListReachable(topic, true);
     Logger.info("event=store-regained list={} version={}", topic, version);
-    state.servers().onStoreReturned(nowNanos());
+    state.onStoreRegained(minLapseNanos);
     return true;
   }
 
--- a/gateway/src/main/java/org/bambooarch/gateway/control/StoreSynchronizer.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/StoreSynchronizer.java
@@ -62,9 +62,8 @@
     this.random = random;
     ListWatcher.Listener listener = listener(onConfirmed);
     for (Topic topic : List.of(Topic.OPERATOR, Topic.SERVERS)) {
-      long boundMillis = listAgeBounds.millisOf(topic);
       watchers.put(
-          topic, new ListWatcher(topic, store, state, loop, random, era, boundMillis, listener));
+          topic, new ListWatcher(topic, store, state, loop, random, era, listAgeBounds, listener));
     }
   }
 
--- a/gateway/src/main/java/org/bambooarch/gateway/warmup/WarmUp.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/warmup/WarmUp.java
@@ -208,6 +208,6 @@
         new QuotaTolerance(1, 0, 0),
         1_000,
         1_000,
-        new ListAgeBounds(5_000, 5_000));
+        new ListAgeBounds(5_000, 5_000, 3_000));
   }
 }
--- a/gateway/src/test/java/org/bambooarch/gateway/bodypath/BodyPathWorld.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/bodypath/BodyPathWorld.java
@@ -173,7 +173,7 @@
         new QuotaTolerance(5, 0.1, 20),
         2_000,
         6_000,
-        new ListAgeBounds(2_000, 2_000));
+        new ListAgeBounds(2_000, 2_000, 3_000));
   }
 
   private static ServiceRoute route(String name, boolean idempotent) {
--- a/gateway/src/test/java/org/bambooarch/gateway/control/ListAgeFixture.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/control/ListAgeFixture.java
@@ -16,7 +16,8 @@
       EmbeddedChannel channel,
       RandomGenerator random,
       Runnable sendHeartbeats) {
-    ListAgeBounds bounds = new ListAgeBounds(ListAgeRun.BOUND_MILLIS, ListAgeRun.BOUND_MILLIS);
+    ListAgeBounds bounds =
+        new ListAgeBounds(ListAgeRun.BOUND_MILLIS, ListAgeRun.BOUND_MILLIS, 3_000);
     return new StoreSynchronizer(store, state, channel.eventLoop(), random, bounds, sendHeartbeats);
   }
 
--- a/gateway/src/test/java/org/bambooarch/gateway/control/ListAgeRandomTest.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/control/ListAgeRandomTest.java
@@ -9,7 +9,7 @@
 class ListAgeRandomTest {
 
   private static final long FIRST_SEED = Long.getLong("list-age.first-seed", 1);
-  private static final long SEEDS = Long.getLong("list-age.seeds", 60);
+  private static final long SEEDS = Long.getLong("list-age.seeds", 300);
 
   // Incidents CONFIG and DRAIN: instances went on using lists that were older than the bounds,
   // since
--- a/gateway/src/test/java/org/bambooarch/gateway/control/ListAgeRun.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/control/ListAgeRun.java
@@ -320,10 +320,14 @@
     return new ServerEntry(id, "shop", "10.0.0.1", 80, "north-a", 4, draining, 0, 1);
   }
 
-  /** A server leaves, and another one takes its place. */
+  /** A server leaves, with or without saying so first, and another one takes its place. */
   private void leave() {
     String id = listedServers.removeFirst();
-    store.put(Topic.SERVERS, id, new ControlChange.ServerListed(server(id, true)));
+    if (random.nextInt(4) == 0) {
+      store.remove(Topic.SERVERS, id, new ControlChange.ServerRemoved(id));
+    } else {
+      store.put(Topic.SERVERS, id, new ControlChange.ServerListed(server(id, true)));
+    }
     leavingAckMillis.put(id, nowMillis);
     listServer();
   }
--- a/gateway/src/test/java/org/bambooarch/gateway/control/ListWatcherTest.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/control/ListWatcherTest.java
@@ -42,6 +42,9 @@
   /** Time for a connection and a response of a store that responds. */
   private static final long STORE_ROUND_TRIP_MILLIS = 100;
 
+  private static final ListAgeBounds BOUNDS =
+      new ListAgeBounds(MAX_LIST_AGE_MILLIS, MAX_LIST_AGE_MILLIS, 3_000);
+
   private static final ListWatcher.Listener LISTENER =
       new ListWatcher.Listener() {
         @Override
@@ -64,7 +67,7 @@
           channel.eventLoop(),
           RandomGenerator.of("L64X128MixRandom"),
           era,
-          MAX_LIST_AGE_MILLIS,
+          BOUNDS,
           LISTENER);
   private long nowMillis;
 
@@ -160,7 +163,7 @@
         new QuotaTolerance(5, 0.1, 20),
         2_000,
         6_000,
-        new ListAgeBounds(MAX_LIST_AGE_MILLIS, MAX_LIST_AGE_MILLIS));
+        BOUNDS);
   }
 
   /** Advances the clock and the event loop in small steps, and runs the tasks that become due. */
@@ -266,6 +269,25 @@
     assertThat(state.servers().find("a")).isEmpty();
   }
 
+  // Incident DRAIN: after a failed call, a server without an entry got requests for 1.5 s more, as
+  // if the store had been away for long enough to drop entries of servers that run.
+  @Test
+  void
+      should_send_nothing_to_a_removed_server_when_the_store_was_away_for_less_than_entries_last() {
+    start();
+    store.failure = ControlStoreException.unexpectedStatus("watch", 503);
+    store.pending.completeExceptionally(store.failure);
+    advanceWithTicks(1_000);
+    store.failure = null;
+    store.pending =
+        CompletableFuture.completedFuture(
+            new ControlUpdate(0, 8, List.of(new ControlChange.ServerRemoved("a"))));
+    advanceWithTicks(1_000);
+
+    assertThat(state.servers().find("a")).isEmpty();
+    assertThat(state.servers().find("b")).isPresent();
+  }
+
   @Test
   void should_read_the_full_list_when_the_store_returned_from_an_older_copy() {
     start();
@@ -359,7 +381,7 @@
             channel.eventLoop(),
             RandomGenerator.of("L64X128MixRandom"),
             era,
-            MAX_LIST_AGE_MILLIS,
+            BOUNDS,
             LISTENER);
     operators.start();
     advance(2_000);
--- a/gateway/src/test/java/org/bambooarch/gateway/control/StoreSynchronizerTest.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/control/StoreSynchronizerTest.java
@@ -31,7 +31,7 @@
           state,
           channel.eventLoop(),
           RandomGenerator.of("L64X128MixRandom"),
-          new ListAgeBounds(4_000, 4_000),
+          new ListAgeBounds(4_000, 4_000, 3_000),
           () -> {});
 
   /** Version of the lists that the store returns first. */
--- a/gateway/src/test/java/org/bambooarch/gateway/request/RequestLoggerTest.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/request/RequestLoggerTest.java
@@ -66,7 +66,7 @@
             new QuotaTolerance(5, 0.1, 20),
             2_000,
             6_000,
-            new ListAgeBounds(2_000, 2_000));
+            new ListAgeBounds(2_000, 2_000, 3_000));
     return new GatewayContext(
         new ControlState(settings, clock),
         null,
