Tell the age of the lists in metrics, and date confirmations exactly

An instance no longer reports a confirmation that is older than the content it knows: the time belonged to the content before. A full list that is older than what is known is ignored like any other response, and the wait of a call counts as confirmed only if the store states no time of its own. Found by reading; none of these was seen.

--- a/gateway/src/main/java/org/bambooarch/gateway/Gateway.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/Gateway.java
@@ -44,6 +44,7 @@
 import org.bambooarch.gateway.request.SkippedResponseLogger;
 import org.bambooarch.gateway.spi.ControlStore;
 import org.bambooarch.gateway.spi.RequestFormat;
+import org.bambooarch.gateway.spi.Topic;
 import org.bambooarch.gateway.target.NettyTransport;
 import org.bambooarch.gateway.target.PartitionMonitor;
 import org.bambooarch.gateway.target.TargetHttpClient;
@@ -250,6 +251,14 @@
         "bambooarch_config_version",
         "Version of the configuration in force.",
         () -> state.config().map(config -> (double) config.version()).orElse(0.0));
+    metrics.registerGauge(
+        "bambooarch_operators_list_age_seconds",
+        "Time since the store has confirmed the operators' list.",
+        () -> state.listAgeSeconds(Topic.OPERATOR));
+    metrics.registerGauge(
+        "bambooarch_servers_list_age_seconds",
+        "Time since the store has confirmed the list of servers.",
+        () -> state.listAgeSeconds(Topic.SERVERS));
     metrics.registerGauge(
         "bambooarch_live_instances",
         "Instances whose heartbeats arrive, this one included.",
--- a/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
@@ -262,6 +262,11 @@
     return listProgress.ageNanos(topic, clock.monotonicNanos());
   }
 
+  /** Returns the same in seconds, for the metrics. */
+  public double listAgeSeconds(Topic topic) {
+    return listAgeNanos(topic) / 1e9;
+  }
+
   /**
    * Returns the time of the store's steady clock at the last confirmation of a list, in
    * milliseconds; 0 if unknown.
--- a/gateway/src/main/java/org/bambooarch/gateway/control/ListProgress.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ListProgress.java
@@ -27,6 +27,7 @@
     private long newestChange;
     private long newestChangeOfOthers;
     private long confirmedNanos;
+    private long confirmedDigest;
     private long confirmedStoreMillis;
     private boolean behind;
     private long behindSinceNanos;
@@ -103,7 +104,10 @@
     long asOfNanos =
         Math.max(earliestNanos, Math.min(datedNanos.orElse(earliestNanos), receivedNanos));
     progress.confirmedNanos += Math.max(0, asOfNanos - progress.confirmedNanos);
-    progress.confirmedStoreMillis = Math.max(progress.confirmedStoreMillis, storeMillis);
+    boolean sameContent = progress.confirmedDigest == progress.digest.value();
+    progress.confirmedDigest = progress.digest.value();
+    progress.confirmedStoreMillis =
+        sameContent ? Math.max(progress.confirmedStoreMillis, storeMillis) : storeMillis;
   }
 
   /** Records what another instance reports. */
--- a/gateway/src/main/java/org/bambooarch/gateway/control/ListWatcher.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ListWatcher.java
@@ -272,7 +272,7 @@
   /** Applies a response; returns false if it says less than what is known. */
   private boolean onUpdate(Call call, ControlUpdate update) {
     listener.onStoreHeard();
-    if (isOutdated(call, update)) {
+    if (isOutdated(update)) {
       return false;
     }
     final boolean regained = onStoreReachable();
@@ -311,21 +311,15 @@
     return changed || call.readsFullList();
   }
 
-  private boolean isOutdated(Call call, ControlUpdate update) {
-    if (update.storeEra() < era.current()) {
-      return true;
-    }
-    if (!loaded && call.readsFullList()) {
-      return false;
-    }
-    boolean olderTime =
-        update.storeMillis() > 0 && update.storeMillis() < state.confirmedStoreMillis(topic);
-    return update.storeEra() == listEra && (update.version() < version || olderTime);
+  private boolean isOutdated(ControlUpdate update) {
+    return update.storeEra() < era.current()
+        || (update.storeEra() == listEra && update.version() < version);
   }
 
-  /** Returns a time at or before which the list was as the response says. */
+  /** Returns a time at or after which the list was as the response says. */
   private long asOfNanos(Call call, ControlUpdate update) {
-    long waitedNanos = update.changes().isEmpty() ? call.waitMillis() * 1_000_000L : 0;
+    boolean waitedForNothing = update.changes().isEmpty() && update.storeMillis() == 0;
+    long waitedNanos = waitedForNothing ? call.waitMillis() * 1_000_000L : 0;
     return Math.min(call.askedNanos() + waitedNanos, nowNanos());
   }
 
--- a/peer/src/test/java/org/bambooarch/peer/codec/HeartbeatCodecTest.java
+++ b/peer/src/test/java/org/bambooarch/peer/codec/HeartbeatCodecTest.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import org.bambooarch.core.steering.fleet.Heartbeat;
 import org.bambooarch.core.steering.fleet.InstanceIdentity;
+import org.bambooarch.core.steering.fleet.ListStatus;
 import org.bambooarch.core.steering.fleet.ListVersions;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -28,7 +29,7 @@
             true,
             partitioned,
             12,
-            new ListVersions(2, 40, 55),
+            new ListVersions(2, new ListStatus(40, -3, 5_000), new ListStatus(55, 7, 5_100)),
             Map.of(5, 2.25),
             Map.of(5, 3),
             Map.of(9, 1),
