Follow the lists until the process ends when an instance stops

It stopped watching at that moment, so it sent them by the configuration and to the servers of then, however these changed.

Now it only leaves the list of instances, and its watches end with the process. StoreSynchronizerTest.should_follow_the_lists_when_it_has_left_the_list_of_instances uses the call that did both before, which stopped all watches.

--- a/gateway/src/main/java/org/bambooarch/gateway/Gateway.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/Gateway.java
@@ -419,7 +419,7 @@
     StopSchedule schedule = StopSchedule.from(clock.monotonicNanos(), settings.graceMillis());
     state.beginShutdown(schedule);
     peerSocket.ifPresent(PeerSocket::sendHeartbeats);
-    storeSynchronizer.stop();
+    storeSynchronizer.deregister();
     loop.scheduleWithFixedDelay(
         () -> pollStop(schedule), STOP_POLL_MILLIS, STOP_POLL_MILLIS, TimeUnit.MILLISECONDS);
   }
--- a/gateway/src/main/java/org/bambooarch/gateway/control/StoreSynchronizer.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/StoreSynchronizer.java
@@ -40,7 +40,7 @@
   private boolean started;
   private boolean registered;
   private long nextRegisterNanos;
-  private boolean stopped;
+  private boolean deregistered;
 
   /**
    * Creates a synchronizer that makes no calls until {@link #start()}.
@@ -88,10 +88,15 @@
     register();
   }
 
-  /** Stops watching and registering, and removes this instance from the list of instances. */
-  public void stop() {
-    stopped = true;
-    watchers.values().forEach(ListWatcher::stop);
+  /**
+   * Removes this instance from the list of instances. The lists are still watched: an instance that
+   * is about to stop takes requests for some time, and works on those that it has.
+   */
+  public void deregister() {
+    if (deregistered) {
+      return;
+    }
+    deregistered = true;
     store
         .deregister(identity())
         .whenComplete(
@@ -104,13 +109,19 @@
             });
   }
 
+  /** Stops watching, and removes this instance from the list of instances if it is still there. */
+  public void stop() {
+    deregister();
+    watchers.values().forEach(ListWatcher::stop);
+  }
+
   /**
    * Asks the store for each list whose age requires it. Called every {@link
    * ControlState#TICK_MILLIS}.
    */
   public void tick() {
     watchers.values().forEach(ListWatcher::tick);
-    if (started && !stopped && !registered && isRegisterDue()) {
+    if (started && !deregistered && !registered && isRegisterDue()) {
       register();
     }
   }
@@ -128,7 +139,7 @@
     state.onStoreReverted();
     watchers.values().forEach(ListWatcher::onNewEra);
     registered = false;
-    if (!stopped) {
+    if (!deregistered) {
       register();
     }
   }
--- a/gateway/src/test/java/org/bambooarch/gateway/control/StoreSynchronizerTest.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/control/StoreSynchronizerTest.java
@@ -44,6 +44,7 @@
   private static final class LosingStore implements ControlStore {
     private final List<CompletableFuture<Void>> registrations = new ArrayList<>();
     private boolean losesRegistrations;
+    private int deregistrations;
     private int operatorWatches;
     private int serverWatches;
 
@@ -78,6 +79,7 @@
 
     @Override
     public CompletableFuture<Void> deregister(InstanceIdentity instance) {
+      deregistrations++;
       return CompletableFuture.completedFuture(null);
     }
   }
@@ -199,4 +201,20 @@
     assertThat(state.fleet().isListRead()).isTrue();
     assertThat(store.registrations).hasSize(registrations);
   }
+
+  // An instance that is about to stop takes requests for some seconds; it went on by the lists of
+  // the moment at which it was told to stop.
+  @Test
+  void should_follow_the_lists_when_it_has_left_the_list_of_instances() {
+    start();
+    synchronizer.deregister();
+    runTicks(12, 8, 0, 8, 7);
+    assertThat(state.config().map(SteeringConfig::version)).contains(8L);
+
+    synchronizer.stop();
+    int operatorWatches = store.operatorWatches;
+    runTicks(50, 9, 0, 9, 9);
+    assertThat(store.operatorWatches).isEqualTo(operatorWatches);
+    assertThat(store.deregistrations).isEqualTo(1);
+  }
 }
