Let the soak play a store in trouble, and check both bounds

The operator moves a route between services and lets servers leave, a quarter of them without a notice.

CONFIG is broken by a request that is sent more than 2.5 s after the acknowledgement of a configuration and runs at a service to which only an older one allows it; DRAIN by one that reaches a server more than 2.5 s after the acknowledgement of its leaving. A silence of the store excuses 4 s after its end; lost and late responses and dropped histories excuse nothing. The oldest state that any request met is printed.

--- a/soak/src/main/java/org/bambooarch/soak/ClientWorker.java
+++ b/soak/src/main/java/org/bambooarch/soak/ClientWorker.java
@@ -15,6 +15,12 @@
   /** Header that states the number of the attempt, since attempts may share their id. */
   static final String ATTEMPT_HEADER = "Client-Attempt";
 
+  /** Header that states the steady clock when the client began to send the attempt. */
+  static final String SENT_HEADER = "Client-Sent-Nanos";
+
+  /** Share of safe requests on the route that configurations move. */
+  private static final double MOVED_SHARE = 0.3;
+
   /** Share of requests whose client leaves early. */
   private static final double LEAVE_SHARE = 0.2;
 
@@ -163,10 +169,12 @@
     String service =
         PlayedDeployment.SERVICES.get(random.nextInt(PlayedDeployment.SERVICES.size()));
     String prefix = unsafe ? PlayedDeployment.UNSAFE_PREFIX : PlayedDeployment.SAFE_PREFIX;
+    boolean moved = !unsafe && random.nextDouble() < MOVED_SHARE;
+    String route = moved ? PlayedDeployment.MOVED_ROUTE : prefix + service;
     boolean longBody = random.nextDouble() < LONG_BODY_SHARE;
     int length = longBody ? LONG_BODY_BYTES : unsafe ? random.nextInt(500) : 0;
     return new Request(
-        "/" + prefix + service + "/" + Integer.toHexString(random.nextInt(4_096)),
+        "/" + route + "/" + Integer.toHexString(random.nextInt(4_096)),
         !unsafe,
         Messages.randomBody(length, random),
         MIN_DEADLINE_MILLIS + random.nextInt(MAX_DEADLINE_MILLIS - MIN_DEADLINE_MILLIS));
@@ -181,6 +189,7 @@
         Deadline-Ms: %d
         Credential: %s
         %s: %d
+        %s: %d
         Content-Length: %d
 
         """
@@ -193,6 +202,8 @@
                 PlayedDeployment.API_KEY,
                 ATTEMPT_HEADER,
                 attempt,
+                SENT_HEADER,
+                System.nanoTime(),
                 request.body().length);
     return Messages.join(Messages.bytes(head.replace("\n", "\r\n")), request.body());
   }
--- a/soak/src/main/java/org/bambooarch/soak/Operator.java
+++ b/soak/src/main/java/org/bambooarch/soak/Operator.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.BindException;
+import java.net.InetSocketAddress;
 import java.util.Random;
 import java.util.concurrent.atomic.LongAdder;
 import org.bambooarch.platform.fake.StoreServer;
@@ -13,15 +14,22 @@
   /** Shortest time between two actions of one kind, in milliseconds. */
   private static final int MIN_PAUSE_MILLIS = 500;
 
+  /** Shortest time for which a server serves after it has said that it leaves. */
+  private static final int LEAVING_MILLIS = 4_000;
+
   private static final int MAX_BIND_ATTEMPTS = 50;
   private static final long BIND_PAUSE_MILLIS = 200;
 
   /** How often each action was taken. */
   record Counts(
-      LongAdder configs, LongAdder serversKilled, LongAdder killed, LongAdder terminated) {
+      LongAdder configs,
+      LongAdder serversKilled,
+      LongAdder serversLeft,
+      LongAdder killed,
+      LongAdder terminated) {
 
     Counts() {
-      this(new LongAdder(), new LongAdder(), new LongAdder(), new LongAdder());
+      this(new LongAdder(), new LongAdder(), new LongAdder(), new LongAdder(), new LongAdder());
     }
   }
 
@@ -34,14 +42,21 @@
   private final SoakServer[] servers;
   private final InstanceGroup instances;
   private final RunClock clock;
+  private final ChangeLog changes;
   private final Counts counts = new Counts();
   private int configVersion;
 
-  Operator(StoreServer store, SoakServer[] servers, InstanceGroup instances, RunClock clock) {
+  Operator(
+      StoreServer store,
+      SoakServer[] servers,
+      InstanceGroup instances,
+      RunClock clock,
+      ChangeLog changes) {
     this.store = store;
     this.servers = servers;
     this.instances = instances;
     this.clock = clock;
+    this.changes = changes;
   }
 
   Counts counts() {
@@ -53,6 +68,7 @@
     Random seeds = new Random(seed);
     repeat("configure", 4_000, seeds.nextLong(), this::configure);
     repeat("kill-server", 700, seeds.nextLong(), this::replaceServer);
+    repeat("leave-server", 2_500, seeds.nextLong(), this::leaveServer);
     repeat("kill-instance", 5_000, seeds.nextLong(), random -> restart(random, true));
     repeat("terminate-instance", 5_000, seeds.nextLong(), random -> restart(random, false));
     repeat("watch", 500, seeds.nextLong(), random -> instances.restartEnded());
@@ -85,11 +101,15 @@
 
   private void configure(Random random) {
     configVersion += 1 + random.nextInt(3);
+    String movedTo =
+        PlayedDeployment.SERVICES.get(random.nextInt(PlayedDeployment.SERVICES.size()));
+    long sentNanos = System.nanoTime();
     store.put(
         "op",
         "config",
         PlayedDeployment.config(
-            100 + configVersion, 1_500 + random.nextInt(2_500), random.nextBoolean()));
+            100 + configVersion, 1_500 + random.nextInt(2_500), random.nextBoolean(), movedTo));
+    changes.onConfiguration(movedTo, sentNanos, System.nanoTime());
     counts.configs().increment();
   }
 
@@ -113,6 +133,35 @@
     store.put("servers", id, started.row());
   }
 
+  /**
+   * Lets a server leave: it says so, or its entry is removed, and it serves for longer than the
+   * bound. Another one takes its place, at another address.
+   */
+  private void leaveServer(Random random) throws InterruptedException, IOException {
+    int index = random.nextInt(servers.length);
+    SoakServer leaving = servers[index];
+    if (random.nextInt(4) == 0) {
+      store.delete("servers", leaving.id());
+    } else {
+      store.put("servers", leaving.id(), leaving.leavingRow());
+    }
+    changes.onLeaving(leaving.id(), System.nanoTime());
+    counts.serversLeft().increment();
+    SoakServer started =
+        new SoakServer(
+            "i-%08x".formatted(random.nextInt()),
+            leaving.service(),
+            leaving.zone(),
+            new InetSocketAddress(leaving.address().getAddress(), 0),
+            random.nextLong(),
+            leaving.environment());
+    servers[index] = started;
+    store.put("servers", started.id(), started.row());
+    Thread.sleep(LEAVING_MILLIS + random.nextInt(LEAVING_MILLIS));
+    leaving.close();
+    store.delete("servers", leaving.id());
+  }
+
   /** Opens a server at the address of a killed one, once the system has released its port. */
   private static SoakServer startAgain(SoakServer old, String id, Random random)
       throws IOException, InterruptedException {
--- a/soak/src/main/java/org/bambooarch/soak/PlayedDeployment.java
+++ b/soak/src/main/java/org/bambooarch/soak/PlayedDeployment.java
@@ -10,6 +10,10 @@
   static final String API_KEY = "soak-key";
   static final String SAFE_PREFIX = "read-";
   static final String UNSAFE_PREFIX = "order-";
+
+  /** Route that configurations move from one service to another. */
+  static final String MOVED_ROUTE = "moved";
+
   static final List<String> SERVICES = List.of("catalogue", "search", "desk");
   static final List<String> ZONES = List.of("north-a", "north-b", "south-a");
 
@@ -32,8 +36,9 @@
    *
    * @param timeoutMillis timeout of all routes
    * @param withExtraRoute whether it has a route that others do not have
+   * @param movedTo service of the route that configurations move
    */
-  static String config(int version, long timeoutMillis, boolean withExtraRoute) {
+  static String config(int version, long timeoutMillis, boolean withExtraRoute, String movedTo) {
     List<String> routes = new ArrayList<>();
     List<String> services = new ArrayList<>();
     for (String service : SERVICES) {
@@ -41,6 +46,7 @@
       routes.add(route(UNSAFE_PREFIX + service, "unsafe", timeoutMillis, service));
       services.add(Templates.fill("service.json", service));
     }
+    routes.add(route(MOVED_ROUTE, "safe", timeoutMillis, movedTo));
     if (withExtraRoute) {
       routes.add(route("extra", "safe", timeoutMillis, SERVICES.getFirst()));
     }
--- a/soak/src/main/java/org/bambooarch/soak/ServerConnection.java
+++ b/soak/src/main/java/org/bambooarch/soak/ServerConnection.java
@@ -172,6 +172,11 @@
             number,
             order,
             executed,
+            server.service(),
+            head.startLine().contains(" /" + PlayedDeployment.MOVED_ROUTE + "/"),
+            head.header(ClientWorker.SENT_HEADER).isEmpty()
+                ? 0
+                : Long.parseLong(head.header(ClientWorker.SENT_HEADER)),
             !head.startLine().contains(" /" + PlayedDeployment.UNSAFE_PREFIX),
             first.answer(),
             second == null ? null : second.answer(),
--- a/soak/src/main/java/org/bambooarch/soak/ServerRun.java
+++ b/soak/src/main/java/org/bambooarch/soak/ServerRun.java
@@ -11,6 +11,10 @@
  * @param connection number of the server's connection
  * @param order position of the request on that connection, from 1
  * @param executed whether the request ran, as opposed to a refusal
+ * @param service service of the server
+ * @param moved whether the request was sent on the route that configurations move
+ * @param sentNanos steady clock when the client began to send the request, or 0 if it did not state
+ *     it
  * @param repeatable whether the request may run more than once
  * @param answer the answer that the server decided on
  * @param second answer that follows the first one without a request, or null
@@ -26,6 +30,9 @@
     long connection,
     int order,
     boolean executed,
+    String service,
+    boolean moved,
+    long sentNanos,
     boolean repeatable,
     Answer answer,
     Answer second,
--- a/soak/src/main/java/org/bambooarch/soak/Soak.java
+++ b/soak/src/main/java/org/bambooarch/soak/Soak.java
@@ -34,12 +34,14 @@
       double faultScale,
       int startGroup,
       boolean sameIds,
-      boolean calm) {}
+      boolean calm,
+      boolean storeTrouble) {}
 
   private final Plan plan;
   private final Path root;
   private final Path logs;
   private final Journal journal = new Journal();
+  private final ChangeLog changes = new ChangeLog();
   private final RunClock clock;
   private final Random seeds;
 
@@ -62,20 +64,27 @@
         InstanceGroup instances =
             new InstanceGroup(root, logs, network, plan.instances(), store.address())) {
       Runtime.getRuntime().addShutdownHook(new Thread(instances::close));
-      store.put("op", "config", PlayedDeployment.config(1, 3_000, false));
+      String movedTo = PlayedDeployment.SERVICES.getFirst();
+      store.put("op", "config", PlayedDeployment.config(1, 3_000, false, movedTo));
+      changes.onConfiguration(movedTo, System.nanoTime(), System.nanoTime());
       LongAdder healthChecks = new LongAdder();
       SoakServer[] servers = startServers(store, network, faults, healthChecks);
       instances.startAll(plan.startGroup());
       clock.start();
-      Operator operator = new Operator(store, servers, instances, clock);
+      Operator operator = new Operator(store, servers, instances, clock, changes);
       long operatorSeed = seeds.nextLong();
       if (!plan.calm()) {
         operator.start(operatorSeed);
       }
+      long storeSeed = seeds.nextLong();
+      StoreTrouble storeTrouble = new StoreTrouble(store, changes, clock);
+      if (plan.storeTrouble()) {
+        storeTrouble.start(storeSeed);
+      }
       LongAdder left = new LongAdder();
       LongAdder failedConnects = new LongAdder();
       List<Thread> clients = startClients(instances, left, failedConnects);
-      SoakReport report = new SoakReport(journal, clock);
+      SoakReport report = new SoakReport(journal, changes, clock);
       sample(instances, report);
       for (Thread client : clients) {
         client.join();
@@ -85,6 +94,8 @@
       report.add("instances-killed", operator.counts().killed().sum());
       report.add("instances-terminated", operator.counts().terminated().sum());
       report.add("servers-killed", operator.counts().serversKilled().sum());
+      report.add("servers-left", operator.counts().serversLeft().sum());
+      storeTrouble.counts().forEach((kind, count) -> report.add("store-" + kind, count.sum()));
       report.add("configurations", operator.counts().configs().sum());
       report.add("clients-left", left.sum());
       report.add("connections-failed", failedConnects.sum());
--- a/soak/src/main/java/org/bambooarch/soak/SoakMain.java
+++ b/soak/src/main/java/org/bambooarch/soak/SoakMain.java
@@ -43,6 +43,9 @@
     OptionSpec<Void> sameIds =
         parser.accepts("same-ids", "retries keep the request's id, also after a client left");
     OptionSpec<Void> calm = parser.accepts("calm", "the operator does nothing");
+    OptionSpec<Void> storeTrouble =
+        parser.accepts(
+            "store-trouble", "the store loses and delays responses, is silent, drops its history");
     OptionSpec<String> keepLogs =
         parser.accepts("keep-logs", "folder for logs").withRequiredArg().ofType(String.class);
     try {
@@ -63,7 +66,8 @@
               options.valueOf(faults),
               options.valueOf(group),
               options.has(sameIds),
-              options.has(calm));
+              options.has(calm),
+              options.has(storeTrouble));
       return new Soak(plan, Path.of("").toAbsolutePath(), logs).run() ? 0 : BROKEN;
     } catch (OptionException e) {
       System.err.println(e.getMessage());
--- a/soak/src/main/java/org/bambooarch/soak/SoakReport.java
+++ b/soak/src/main/java/org/bambooarch/soak/SoakReport.java
@@ -15,11 +15,13 @@
   private static final int MAX_PRINTED = 20;
 
   private final Journal journal;
+  private final ChangeLog changes;
   private final RunClock clock;
   private final Map<String, Number> figures = new LinkedHashMap<>();
 
-  SoakReport(Journal journal, RunClock clock) {
+  SoakReport(Journal journal, ChangeLog changes, RunClock clock) {
     this.journal = journal;
+    this.changes = changes;
     this.clock = clock;
   }
 
@@ -39,14 +41,35 @@
     }
     addCountsById("safe", RequestIdCounts.of(journal, true));
     addCountsById("unsafe", RequestIdCounts.of(journal, false));
+    ChangeChecker.Result lists = new ChangeChecker(changes).check(journal.runs());
+    add("oldest-configuration-millis", lists.oldestConfigurationMillis());
+    add("oldest-leaving-millis", lists.oldestLeavingMillis());
+    add("broken-CONFIG", lists.config().size());
+    add("broken-DRAIN", lists.drain().size());
     figures.forEach((name, value) -> System.out.println(name + "=" + value));
+    printLate("CONFIG", lists.config());
+    printLate("DRAIN", lists.drain());
     Map<AnswerChecker.Promise, Integer> printed = new EnumMap<>(AnswerChecker.Promise.class);
     for (AnswerChecker.Violation violation : violations) {
       if (printed.merge(violation.promise(), 1, Integer::sum) <= MAX_PRINTED) {
         printRecords(violation);
       }
     }
-    return violations.isEmpty();
+    return violations.isEmpty() && lists.config().isEmpty() && lists.drain().isEmpty();
+  }
+
+  private void printLate(String rule, List<ChangeChecker.Late> late) {
+    late.stream()
+        .limit(MAX_PRINTED)
+        .forEach(
+            each ->
+                System.out.printf(
+                    "BROKEN %s acked=%.1fms late=%dms %s received=%.1fms%n",
+                    rule,
+                    clock.millis(each.ackNanos()),
+                    each.lateMillis(),
+                    each.run(),
+                    clock.millis(each.run().receivedNanos())));
   }
 
   private void addCountsById(String kind, RequestIdCounts counts) {
--- a/soak/src/main/java/org/bambooarch/soak/SoakServer.java
+++ b/soak/src/main/java/org/bambooarch/soak/SoakServer.java
@@ -86,6 +86,15 @@
 
   /** Returns the value of the server's row in the store. */
   String row() {
+    return row("ready");
+  }
+
+  /** Returns the value of the row of a server that is about to stop. */
+  String leavingRow() {
+    return row("draining");
+  }
+
+  private String row(String state) {
     return Templates.fill(
         "server-row.json",
         listener.getInetAddress().getHostAddress(),
@@ -93,7 +102,8 @@
         bornUnixMillis,
         service,
         zone,
-        SLOTS);
+        SLOTS,
+        state);
   }
 
   Environment environment() {
--- /dev/null
+++ b/soak/src/main/java/org/bambooarch/soak/StoreTrouble.java
@@ -0,0 +1,91 @@
+package org.bambooarch.soak;
+
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.atomic.LongAdder;
+import org.bambooarch.platform.fake.StoreServer;
+
+/** Lets the store lose and delay responses, fall silent and drop its history, one after another. */
+final class StoreTrouble {
+
+  /** What the store does. */
+  enum Kind {
+    LOSSY,
+    SLOW,
+    SILENT,
+    GAP
+  }
+
+  private static final double LOSS_SHARE = 0.2;
+  private static final int LONGEST_DELAY_MILLIS = 700;
+  private static final int MIN_PAUSE_MILLIS = 300;
+  private static final int MAX_PAUSE_MILLIS = 2_500;
+  private static final int MIN_TROUBLE_MILLIS = 500;
+  private static final int MAX_TROUBLE_MILLIS = 4_000;
+
+  /** Time for which waiting feeds hear nothing before the history is dropped. */
+  private static final long GAP_MILLIS = 1_000;
+
+  private final StoreServer store;
+  private final ChangeLog changes;
+  private final RunClock clock;
+  private final Map<Kind, LongAdder> counts = new EnumMap<>(Kind.class);
+
+  StoreTrouble(StoreServer store, ChangeLog changes, RunClock clock) {
+    this.store = store;
+    this.changes = changes;
+    this.clock = clock;
+    for (Kind kind : Kind.values()) {
+      counts.put(kind, new LongAdder());
+    }
+  }
+
+  /** Returns how often each trouble was played. */
+  Map<Kind, LongAdder> counts() {
+    return counts;
+  }
+
+  /** Starts to play until the end of the run. */
+  void start(long seed) {
+    Random random = new Random(seed);
+    Thread.ofVirtual()
+        .start(
+            () -> {
+              try {
+                while (!clock.isOver()) {
+                  Thread.sleep(random.nextInt(MIN_PAUSE_MILLIS, MAX_PAUSE_MILLIS));
+                  play(Kind.values()[random.nextInt(Kind.values().length)], random);
+                }
+              } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+              }
+            });
+  }
+
+  private void play(Kind kind, Random random) throws InterruptedException {
+    counts.get(kind).increment();
+    long millis = random.nextInt(MIN_TROUBLE_MILLIS, MAX_TROUBLE_MILLIS);
+    switch (kind) {
+      case LOSSY -> disturb(LOSS_SHARE, 0, millis);
+      case SLOW -> disturb(0, LONGEST_DELAY_MILLIS, millis);
+      case SILENT -> {
+        long beginNanos = System.nanoTime();
+        disturb(1, 0, millis);
+        changes.onSilence(beginNanos, System.nanoTime());
+      }
+      case GAP -> {
+        store.beginGap();
+        Thread.sleep(GAP_MILLIS);
+        store.endGap();
+      }
+    }
+  }
+
+  private void disturb(double lossProbability, long longestDelayMillis, long millis)
+      throws InterruptedException {
+    store.setTrouble(lossProbability, longestDelayMillis);
+    Thread.sleep(millis);
+    store.setTrouble(0, 0);
+  }
+}
