--- a/soak/src/main/java/org/bambooarch/soak/SoakServer.java
+++ b/soak/src/main/java/org/bambooarch/soak/SoakServer.java
@@ -86,15 +86,15 @@
 
   /** Returns the value of the server's row in the store. */
   String row() {
-    return row("ready");
+    return rowWith("ready");
   }
 
   /** Returns the value of the row of a server that is about to stop. */
   String leavingRow() {
-    return row("draining");
+    return rowWith("draining");
   }
 
-  private String row(String state) {
+  private String rowWith(String state) {
     return Templates.fill(
         "server-row.json",
         listener.getInetAddress().getHostAddress(),
--- a/soak/src/main/java/org/bambooarch/soak/StoreTrouble.java
+++ b/soak/src/main/java/org/bambooarch/soak/StoreTrouble.java
@@ -11,14 +11,24 @@
 
   /** What the store does. */
   enum Kind {
-    LOSSY,
-    SLOW,
-    SILENT,
-    GAP
+    /** A fifth of the responses is lost. */
+    LOSSY(0.2, 0),
+    /** Responses are late. */
+    SLOW(0, 700),
+    /** No response comes. */
+    SILENT(1, 0),
+    /** Waiting feeds hear of no change, then the history is dropped. */
+    GAP(0, 0);
+
+    private final double lossShare;
+    private final long longestDelayMillis;
+
+    Kind(double lossShare, long longestDelayMillis) {
+      this.lossShare = lossShare;
+      this.longestDelayMillis = longestDelayMillis;
+    }
   }
 
-  private static final double LOSS_SHARE = 0.2;
-  private static final int LONGEST_DELAY_MILLIS = 700;
   private static final int MIN_PAUSE_MILLIS = 300;
   private static final int MAX_PAUSE_MILLIS = 2_500;
   private static final int MIN_TROUBLE_MILLIS = 500;
@@ -65,27 +75,18 @@
 
   private void play(Kind kind, Random random) throws InterruptedException {
     counts.get(kind).increment();
-    long millis = random.nextInt(MIN_TROUBLE_MILLIS, MAX_TROUBLE_MILLIS);
-    switch (kind) {
-      case LOSSY -> disturb(LOSS_SHARE, 0, millis);
-      case SLOW -> disturb(0, LONGEST_DELAY_MILLIS, millis);
-      case SILENT -> {
-        long beginNanos = System.nanoTime();
-        disturb(1, 0, millis);
-        changes.onSilence(beginNanos, System.nanoTime());
-      }
-      case GAP -> {
-        store.beginGap();
-        Thread.sleep(GAP_MILLIS);
-        store.endGap();
-      }
+    if (kind == Kind.GAP) {
+      store.beginGap();
+      Thread.sleep(GAP_MILLIS);
+      store.endGap();
+      return;
     }
-  }
-
-  private void disturb(double lossProbability, long longestDelayMillis, long millis)
-      throws InterruptedException {
-    store.setTrouble(lossProbability, longestDelayMillis);
-    Thread.sleep(millis);
+    long beginNanos = System.nanoTime();
+    store.setTrouble(kind.lossShare, kind.longestDelayMillis);
+    Thread.sleep(random.nextInt(MIN_TROUBLE_MILLIS, MAX_TROUBLE_MILLIS));
     store.setTrouble(0, 0);
+    if (kind == Kind.SILENT) {
+      changes.onSilence(beginNanos, System.nanoTime());
+    }
   }
 }
