--- a/soak/src/main/java/org/bambooarch/soak/StoreTrouble.java
+++ b/soak/src/main/java/org/bambooarch/soak/StoreTrouble.java
@@ -81,7 +81,7 @@
       store.endGap();
       return;
     }
-    long beginNanos = System.nanoTime();
+    final long beginNanos = System.nanoTime();
     store.setTrouble(kind.lossShare, kind.longestDelayMillis);
     Thread.sleep(random.nextInt(MIN_TROUBLE_MILLIS, MAX_TROUBLE_MILLIS));
     store.setTrouble(0, 0);
