Let no two actions of the soak replace the same server

The trace: the action that kills servers had chosen it before it left, and listed it again, ready, under its id; all instances followed the store (server-gone, then server-listed 0.2 s later). The check was right by its record, the play was wrong. An action now claims the server that it replaces.

--- a/soak/src/main/java/org/bambooarch/soak/Operator.java
+++ b/soak/src/main/java/org/bambooarch/soak/Operator.java
@@ -4,6 +4,8 @@
 import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.LongAdder;
 import org.bambooarch.platform.fake.StoreServer;
 import org.tinylog.Logger;
@@ -43,6 +45,10 @@
   private final InstanceGroup instances;
   private final RunClock clock;
   private final ChangeLog changes;
+
+  /** Servers that an action is replacing, so that no other one lists them again. */
+  private final Set<Integer> claimed = ConcurrentHashMap.newKeySet();
+
   private final Counts counts = new Counts();
   private int configVersion;
 
@@ -116,6 +122,17 @@
   /** Kills a server, which is back at the same address, with its id or a new one. */
   private void replaceServer(Random random) throws InterruptedException, IOException {
     int index = random.nextInt(servers.length);
+    if (!claimed.add(index)) {
+      return;
+    }
+    try {
+      replaceServer(index, random);
+    } finally {
+      claimed.remove(index);
+    }
+  }
+
+  private void replaceServer(int index, Random random) throws InterruptedException, IOException {
     SoakServer old = servers[index];
     old.kill(random.nextBoolean());
     counts.serversKilled().increment();
@@ -139,6 +156,21 @@
    */
   private void leaveServer(Random random) throws InterruptedException, IOException {
     int index = random.nextInt(servers.length);
+    if (!claimed.add(index)) {
+      return;
+    }
+    SoakServer leaving;
+    try {
+      leaving = replaceLeaving(index, random);
+    } finally {
+      claimed.remove(index);
+    }
+    Thread.sleep(LEAVING_MILLIS + random.nextInt(LEAVING_MILLIS));
+    leaving.close();
+    store.delete("servers", leaving.id());
+  }
+
+  private SoakServer replaceLeaving(int index, Random random) throws IOException {
     SoakServer leaving = servers[index];
     if (random.nextInt(4) == 0) {
       store.delete("servers", leaving.id());
@@ -157,9 +189,7 @@
             leaving.environment());
     servers[index] = started;
     store.put("servers", started.id(), started.row());
-    Thread.sleep(LEAVING_MILLIS + random.nextInt(LEAVING_MILLIS));
-    leaving.close();
-    store.delete("servers", leaving.id());
+    return leaving;
   }
 
   /** Opens a server at the address of a killed one, once the system has released its port. */
