Name the gap of the simulated store by what the store does

Reading as a newcomer: "deaf" is no word of the field, and a list of clients was kept that nobody read.

--- a/gateway/src/test/java/org/bambooarch/gateway/control/SimulatedStore.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/control/SimulatedStore.java
@@ -48,10 +48,9 @@
   private final RandomGenerator random;
   private final Map<Topic, TreeMap<String, Row>> tables = new EnumMap<>(Topic.class);
   private final List<Waiting> waiting = new ArrayList<>();
-  private final List<Client> clients = new ArrayList<>();
   private long version = 1;
   private long oldestKnownVersion;
-  private boolean deaf;
+  private boolean tellsNoChanges;
   private double lossProbability;
   private double delayProbability;
   private long longestDelayMillis;
@@ -84,7 +83,7 @@
   private void write(Topic topic, String key, ControlChange change, boolean removed) {
     version++;
     tables.get(topic).put(key, new Row(change, version, removed));
-    if (!deaf) {
+    if (!tellsNoChanges) {
       for (Waiting call : List.copyOf(waiting)) {
         if (call.topic() == topic) {
           respondWithChanges(call);
@@ -95,12 +94,12 @@
 
   /** From now on, calls that wait hear of no change, until {@link #dropHistory()}. */
   void beginGap() {
-    deaf = true;
+    tellsNoChanges = true;
   }
 
   /** Drops the history and cuts all calls that wait. */
   void dropHistory() {
-    deaf = false;
+    tellsNoChanges = false;
     oldestKnownVersion = version;
     for (Waiting call : List.copyOf(waiting)) {
       waiting.remove(call);
@@ -110,11 +109,9 @@
     }
   }
 
-  /** Returns a client for an instance. */
+  /** Returns a client for an instance to which messages take the given time each way. */
   Client connect(long oneWayMillis) {
-    Client client = new Client(oneWayMillis);
-    clients.add(client);
-    return client;
+    return new Client(oneWayMillis);
   }
 
   private void respondWithChanges(Waiting call) {
@@ -215,7 +212,7 @@
             () -> result.completeExceptionally(ControlStoreException.historyLost("watch")));
         return;
       }
-      if (waitMillis == 0 || (!deaf && !changesAfter(topic, after).changes().isEmpty())) {
+      if (waitMillis == 0 || (!tellsNoChanges && !changesAfter(topic, after).changes().isEmpty())) {
         respond(result, changesAfter(topic, after), delayMillis);
         return;
       }
@@ -225,7 +222,7 @@
           () -> {
             if (waiting.remove(call)) {
               // Until the gap ends, the store would have to name a change that it does not tell.
-              if (!deaf) {
+              if (!tellsNoChanges) {
                 respond(result, changesAfter(topic, after), delayMillis);
               }
             }
