--- a/soak/src/main/java/org/bambooarch/soak/ChangeChecker.java
+++ b/soak/src/main/java/org/bambooarch/soak/ChangeChecker.java
@@ -29,9 +29,9 @@
       long oldestConfigurationMillis,
       long oldestLeavingMillis) {}
 
-  private final ChangeLog changes;
+  private final PlayedChanges changes;
 
-  ChangeChecker(ChangeLog changes) {
+  ChangeChecker(PlayedChanges changes) {
     this.changes = changes;
   }
 
@@ -59,9 +59,9 @@
   }
 
   private void addOutdated(ServerRun run, List<Late> found) {
-    List<ChangeLog.Configuration> configurations = changes.configurations();
+    List<PlayedChanges.Configuration> configurations = changes.configurations();
     for (int i = configurations.size() - 1; i >= 0; i--) {
-      ChangeLog.Configuration configuration = configurations.get(i);
+      PlayedChanges.Configuration configuration = configurations.get(i);
       boolean mayApply = configuration.sentNanos() - run.receivedNanos() < 0;
       if (mayApply && configuration.movedTo().equals(run.service())) {
         // The next one ended the time of this configuration.
--- a/soak/src/main/java/org/bambooarch/soak/Operator.java
+++ b/soak/src/main/java/org/bambooarch/soak/Operator.java
@@ -44,7 +44,7 @@
   private final SoakServer[] servers;
   private final InstanceGroup instances;
   private final RunClock clock;
-  private final ChangeLog changes;
+  private final PlayedChanges changes;
 
   /** Servers that an action is replacing, so that no other one lists them again. */
   private final Set<Integer> claimed = ConcurrentHashMap.newKeySet();
@@ -57,7 +57,7 @@
       SoakServer[] servers,
       InstanceGroup instances,
       RunClock clock,
-      ChangeLog changes) {
+      PlayedChanges changes) {
     this.store = store;
     this.servers = servers;
     this.instances = instances;
--- a/soak/src/main/java/org/bambooarch/soak/ChangeLog.java
+++ b/soak/src/main/java/org/bambooarch/soak/PlayedChanges.java
@@ -9,7 +9,7 @@
  * When the store acknowledged each change that instances must act on, and when it was silent. Safe
  * for use by several threads.
  */
-final class ChangeLog {
+final class PlayedChanges {
 
   /**
    * A configuration.
--- a/soak/src/main/java/org/bambooarch/soak/Soak.java
+++ b/soak/src/main/java/org/bambooarch/soak/Soak.java
@@ -41,7 +41,7 @@
   private final Path root;
   private final Path logs;
   private final Journal journal = new Journal();
-  private final ChangeLog changes = new ChangeLog();
+  private final PlayedChanges changes = new PlayedChanges();
   private final RunClock clock;
   private final Random seeds;
 
--- a/soak/src/main/java/org/bambooarch/soak/SoakReport.java
+++ b/soak/src/main/java/org/bambooarch/soak/SoakReport.java
@@ -15,11 +15,11 @@
   private static final int MAX_PRINTED = 20;
 
   private final Journal journal;
-  private final ChangeLog changes;
+  private final PlayedChanges changes;
   private final RunClock clock;
   private final Map<String, Number> figures = new LinkedHashMap<>();
 
-  SoakReport(Journal journal, ChangeLog changes, RunClock clock) {
+  SoakReport(Journal journal, PlayedChanges changes, RunClock clock) {
     this.journal = journal;
     this.changes = changes;
     this.clock = clock;
--- a/soak/src/main/java/org/bambooarch/soak/StoreTrouble.java
+++ b/soak/src/main/java/org/bambooarch/soak/StoreTrouble.java
@@ -38,11 +38,11 @@
   private static final long GAP_MILLIS = 1_000;
 
   private final StoreServer store;
-  private final ChangeLog changes;
+  private final PlayedChanges changes;
   private final RunClock clock;
   private final Map<Kind, LongAdder> counts = new EnumMap<>(Kind.class);
 
-  StoreTrouble(StoreServer store, ChangeLog changes, RunClock clock) {
+  StoreTrouble(StoreServer store, PlayedChanges changes, RunClock clock) {
     this.store = store;
     this.changes = changes;
     this.clock = clock;
--- a/soak/src/test/java/org/bambooarch/soak/ChangeCheckerTest.java
+++ b/soak/src/test/java/org/bambooarch/soak/ChangeCheckerTest.java
@@ -9,7 +9,7 @@
 
 class ChangeCheckerTest {
 
-  private final ChangeLog changes = new ChangeLog();
+  private final PlayedChanges changes = new PlayedChanges();
 
   private static long millis(long millis) {
     return TimeUnit.MILLISECONDS.toNanos(millis);
