Keep "all regions" and "no region in common" apart in one type of homes

The homes of a request became a bare set on their way to the choice of a server and of a relay, where an empty set means all regions: only one check in ProxyExchange stood between a route and a customer without a common region and every region. HomeRegions permits regions instead of listing them, and is what routes, customers and queries hold. Nothing else changes: with no region in common the chooser finds no server, and the request is refused as not run as before, with the chooser's Retry-After.

--- a/core/src/main/java/org/bambooarch/core/steering/config/CustomerPolicy.java
+++ b/core/src/main/java/org/bambooarch/core/steering/config/CustomerPolicy.java
@@ -10,7 +10,7 @@
  * @param priority priority under load; 0 is the highest
  * @param requestsPerSecond sustained rate of requests; 0 for no limit
  * @param burstRequests requests that may arrive at once beyond the sustained rate
- * @param homeRegions the only regions that may serve the customer's requests; empty for all
+ * @param homeRegions the only regions that may serve the customer's requests
  */
 public record CustomerPolicy(
     String name,
@@ -18,12 +18,11 @@
     int priority,
     double requestsPerSecond,
     double burstRequests,
-    Set<String> homeRegions) {
+    HomeRegions homeRegions) {
 
   /** Makes unmodifiable copies of the collections. */
   public CustomerPolicy {
     keyDigests = Set.copyOf(keyDigests);
-    homeRegions = Set.copyOf(homeRegions);
   }
 
   /** Returns whether the customer has a rate limit. */
--- a/core/src/main/java/org/bambooarch/core/steering/config/HomeRegions.java
+++ b/core/src/main/java/org/bambooarch/core/steering/config/HomeRegions.java
@@ -1,31 +1,67 @@
 package org.bambooarch.core.steering.config;
 
+import java.util.Collection;
 import java.util.HashSet;
-import java.util.Optional;
 import java.util.Set;
 
-/**
- * The regions that may serve a request according to its route and its customer.
- *
- * @param regions the regions; empty if all may, or if {@code excludesAll}
- * @param excludesAll whether the route and the customer allow no region in common, so that none may
- */
-public record HomeRegions(Set<String> regions, boolean excludesAll) {
-
-  /** Makes an unmodifiable copy of the set. */
-  public HomeRegions {
-    regions = Set.copyOf(regions);
+/** The regions that may serve a request. */
+public sealed interface HomeRegions {
+
+  /** All regions, those that are unknown here included. */
+  HomeRegions ALL = new All();
+
+  /** Returns whether the region may serve the request. */
+  boolean permits(String region);
+
+  /** Returns the regions that both permit; none if they have none in common. */
+  HomeRegions and(HomeRegions other);
+
+  /** Returns the regions that a route or a customer lists; a list without any permits all. */
+  static HomeRegions ofListed(Collection<String> regions) {
+    return regions.isEmpty() ? ALL : new Only(Set.copyOf(regions));
   }
 
-  /** Returns the regions that the route and, if there is one, the customer both allow. */
-  public static HomeRegions of(ServiceRoute route, Optional<CustomerPolicy> customer) {
-    Set<String> ofCustomer = customer.map(CustomerPolicy::homeRegions).orElse(Set.of());
-    if (route.homeRegions().isEmpty() || ofCustomer.isEmpty()) {
-      return new HomeRegions(
-          route.homeRegions().isEmpty() ? ofCustomer : route.homeRegions(), false);
+  /** Permits all regions. */
+  record All() implements HomeRegions {
+
+    @Override
+    public boolean permits(String region) {
+      return true;
+    }
+
+    @Override
+    public HomeRegions and(HomeRegions other) {
+      return other;
+    }
+  }
+
+  /**
+   * Permits the regions of a set.
+   *
+   * @param regions the permitted regions; if empty, none is
+   */
+  record Only(Set<String> regions) implements HomeRegions {
+
+    /** Makes an unmodifiable copy of the set. */
+    public Only {
+      regions = Set.copyOf(regions);
+    }
+
+    @Override
+    public boolean permits(String region) {
+      return regions.contains(region);
+    }
+
+    @Override
+    public HomeRegions and(HomeRegions other) {
+      return switch (other) {
+        case All all -> this;
+        case Only(Set<String> otherRegions) -> {
+          Set<String> common = new HashSet<>(regions);
+          common.retainAll(otherRegions);
+          yield new Only(common);
+        }
+      };
     }
-    Set<String> common = new HashSet<>(route.homeRegions());
-    common.retainAll(ofCustomer);
-    return new HomeRegions(common, common.isEmpty());
   }
 }
--- a/core/src/main/java/org/bambooarch/core/steering/config/ServiceRoute.java
+++ b/core/src/main/java/org/bambooarch/core/steering/config/ServiceRoute.java
@@ -1,7 +1,6 @@
 package org.bambooarch.core.steering.config;
 
 import java.util.List;
-import java.util.Set;
 
 /**
  * A route: the requests that match it, the services that they go to and how they are handled.
@@ -19,7 +18,7 @@
  * @param openToAll whether requests need no key
  * @param sticky whether servers respond faster for objects that they handled recently, so that the
  *     requests for an object should go to the same servers
- * @param homeRegions the only regions that may serve the route's requests; empty for all
+ * @param homeRegions the only regions that may serve the route's requests
  * @param services services among which the requests are split, with their weights; at least one
  */
 public record ServiceRoute(
@@ -33,12 +32,11 @@
     int priority,
     boolean openToAll,
     boolean sticky,
-    Set<String> homeRegions,
+    HomeRegions homeRegions,
     List<WeightedService> services) {
 
-  /** Makes unmodifiable copies of the collections. */
+  /** Makes an unmodifiable copy of the list. */
   public ServiceRoute {
-    homeRegions = Set.copyOf(homeRegions);
     services = List.copyOf(services);
   }
 }
--- a/core/src/main/java/org/bambooarch/core/steering/fleet/RelayChoice.java
+++ b/core/src/main/java/org/bambooarch/core/steering/fleet/RelayChoice.java
@@ -3,7 +3,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
+import org.bambooarch.core.steering.config.HomeRegions;
 import org.bambooarch.core.steering.hash.Hashes;
 
 /**
@@ -22,11 +22,11 @@
    *
    * @param heartbeats newest heartbeat of each other instance that is live
    * @param region region of the partitioned instance
-   * @param homeRegions the only regions that may serve the request; empty for all
+   * @param homeRegions the only regions that may serve the request
    * @param hash hash of the request
    */
   public static Optional<InstanceIdentity> choose(
-      List<Heartbeat> heartbeats, String region, Set<String> homeRegions, long hash) {
+      List<Heartbeat> heartbeats, String region, HomeRegions homeRegions, long hash) {
     List<InstanceIdentity> usable =
         heartbeats.stream()
             .filter(Heartbeat::takesCallers)
@@ -39,9 +39,7 @@
       return highestRanked(near, hash);
     }
     List<InstanceIdentity> elsewhere =
-        usable.stream()
-            .filter(i -> homeRegions.isEmpty() || homeRegions.contains(i.region()))
-            .toList();
+        usable.stream().filter(i -> homeRegions.permits(i.region())).toList();
     return highestRanked(elsewhere, hash);
   }
 
--- a/core/src/main/java/org/bambooarch/core/steering/place/PlacementQuery.java
+++ b/core/src/main/java/org/bambooarch/core/steering/place/PlacementQuery.java
@@ -1,6 +1,7 @@
 package org.bambooarch.core.steering.place;
 
 import java.util.Set;
+import org.bambooarch.core.steering.config.HomeRegions;
 
 /**
  * A request for which a server is to be chosen.
@@ -12,7 +13,7 @@
  * @param targetLatencyNanos remaining time within which a response has its full value for the
  *     caller, in nanoseconds
  * @param remainingNanos time until the request's deadline, in nanoseconds
- * @param homeRegions the only regions that may run it; empty for all
+ * @param homeRegions the only regions that may run it
  * @param excludedServers names of the servers that must not get it, since they were tried before
  */
 public record PlacementQuery(
@@ -22,5 +23,5 @@
     int priority,
     long targetLatencyNanos,
     long remainingNanos,
-    Set<String> homeRegions,
+    HomeRegions homeRegions,
     Set<String> excludedServers) {}
--- a/core/src/main/java/org/bambooarch/core/steering/place/ServerChooser.java
+++ b/core/src/main/java/org/bambooarch/core/steering/place/ServerChooser.java
@@ -94,7 +94,7 @@
     List<ServerState> usable = new ArrayList<>();
     for (ServerState server : available) {
       if (!query.excludedServers().contains(server.entry().id())
-          && isInHomeRegions(query, server)
+          && query.homeRegions().permits(server.region())
           && !server.isAvoided(nowNanos)
           && limitShares.permits(server, nowNanos)) {
         usable.add(server);
@@ -214,10 +214,6 @@
     return (long) (nanos / NANOS_PER_MILLI);
   }
 
-  private static boolean isInHomeRegions(PlacementQuery query, ServerState server) {
-    return query.homeRegions().isEmpty() || query.homeRegions().contains(server.region());
-  }
-
   /**
    * Returns the region that spillover gives the object, if it has usable servers; otherwise this
    * region, if it has some, or a region that has, chosen by the hash of the object.
--- a/core/src/test/java/org/bambooarch/core/steering/RetryDeciderTest.java
+++ b/core/src/test/java/org/bambooarch/core/steering/RetryDeciderTest.java
@@ -3,9 +3,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
-import java.util.Set;
 import org.bambooarch.core.steering.RetryDecider.AttemptResult;
 import org.bambooarch.core.steering.RetryDecider.Step;
+import org.bambooarch.core.steering.config.HomeRegions;
 import org.bambooarch.core.steering.config.ServiceRoute;
 import org.bambooarch.core.steering.config.WeightedService;
 import org.bambooarch.core.steering.fleet.ServiceRetryBudgets;
@@ -34,7 +34,7 @@
         0,
         true,
         false,
-        Set.of(),
+        HomeRegions.ALL,
         List.of(new WeightedService("shop", 1)));
   }
 
--- a/core/src/test/java/org/bambooarch/core/steering/config/SmoothWeightedRoundRobinTest.java
+++ b/core/src/test/java/org/bambooarch/core/steering/config/SmoothWeightedRoundRobinTest.java
@@ -6,7 +6,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 class SmoothWeightedRoundRobinTest {
@@ -24,7 +23,7 @@
 
   private static ServiceRoute route(List<WeightedService> services) {
     return new ServiceRoute(
-        "orders", "shop", "/", true, 1, 1, 1, 0, true, false, Set.of(), services);
+        "orders", "shop", "/", true, 1, 1, 1, 0, true, false, HomeRegions.ALL, services);
   }
 
   @Test
--- a/core/src/test/java/org/bambooarch/core/steering/fleet/RelayChoiceTest.java
+++ b/core/src/test/java/org/bambooarch/core/steering/fleet/RelayChoiceTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.bambooarch.core.steering.config.HomeRegions;
 import org.junit.jupiter.api.Test;
 
 class RelayChoiceTest {
@@ -33,7 +34,7 @@
   private Set<String> chosen(Set<String> homeRegions) {
     Set<String> names = new HashSet<>();
     for (long hash = 0; hash < 200; hash++) {
-      RelayChoice.choose(heartbeats, "north", homeRegions, hash)
+      RelayChoice.choose(heartbeats, "north", HomeRegions.ofListed(homeRegions), hash)
           .ifPresent(instance -> names.add(instance.name()));
     }
     return names;
@@ -47,8 +48,8 @@
     add("far", "south", true, false);
 
     assertThat(chosen(Set.of())).containsExactlyInAnyOrder("near-1", "near-2", "near-3");
-    assertThat(RelayChoice.choose(heartbeats, "north", Set.of(), 7))
-        .isEqualTo(RelayChoice.choose(heartbeats.reversed(), "north", Set.of(), 7));
+    assertThat(RelayChoice.choose(heartbeats, "north", HomeRegions.ALL, 7))
+        .isEqualTo(RelayChoice.choose(heartbeats.reversed(), "north", HomeRegions.ALL, 7));
   }
 
   @Test
--- a/core/src/test/java/org/bambooarch/core/steering/fleet/SimulatedFleet.java
+++ b/core/src/test/java/org/bambooarch/core/steering/fleet/SimulatedFleet.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import org.bambooarch.core.steering.config.CallerLimits;
 import org.bambooarch.core.steering.config.CustomerPolicy;
+import org.bambooarch.core.steering.config.HomeRegions;
 import org.bambooarch.core.steering.config.SteeringConfig;
 
 /**
@@ -37,7 +38,7 @@
   int leaving = -1;
 
   SimulatedFleet(double rate, double burst) {
-    customer = new CustomerPolicy("kerala", Set.of(), 0, rate, burst, Set.of());
+    customer = new CustomerPolicy("kerala", Set.of(), 0, rate, burst, HomeRegions.ALL);
     config =
         new SteeringConfig(
             1, List.of(), List.of(), List.of(customer), new CallerLimits(1, 1, 1, 1));
--- a/core/src/test/java/org/bambooarch/core/steering/load/FleetSimulation.java
+++ b/core/src/test/java/org/bambooarch/core/steering/load/FleetSimulation.java
@@ -14,6 +14,7 @@
 import java.util.function.Consumer;
 import java.util.function.ToDoubleFunction;
 import java.util.stream.IntStream;
+import org.bambooarch.core.steering.config.HomeRegions;
 import org.bambooarch.core.steering.config.ServicePolicy;
 import org.bambooarch.core.steering.fleet.InstanceIdentity;
 import org.bambooarch.core.steering.hash.Hashes;
@@ -125,10 +126,10 @@
     private final long object;
     private final double askedMillis = clock.nowMillis();
     private final Set<String> tried = new HashSet<>();
-    private final Set<String> homeRegions =
+    private final HomeRegions homeRegions =
         random.nextDouble() < deployment.boundFraction()
-            ? Set.of(deployment.boundRegion())
-            : Set.of();
+            ? HomeRegions.ofListed(Set.of(deployment.boundRegion()))
+            : HomeRegions.ALL;
     private int attempts;
 
     private Request(RequestKind kind, DataCentre dataCentre, long object) {
--- a/core/src/test/java/org/bambooarch/core/steering/load/PeakLoadSimulation.java
+++ b/core/src/test/java/org/bambooarch/core/steering/load/PeakLoadSimulation.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import org.bambooarch.core.steering.config.HomeRegions;
 import org.bambooarch.core.steering.config.ServicePolicy;
 import org.bambooarch.core.steering.fleet.InstanceIdentity;
 import org.bambooarch.core.steering.hash.Hashes;
@@ -137,7 +138,7 @@
             0,
             TARGET_LATENCY_MILLIS * NANOS_PER_MILLI,
             TIMEOUT_MILLIS * NANOS_PER_MILLI,
-            Set.of(),
+            HomeRegions.ALL,
             Set.of());
     ServerState state = policy.choose(instance, query, nowNanos());
     if (state == null) {
--- a/core/src/test/java/org/bambooarch/core/steering/place/ServerChooserTest.java
+++ b/core/src/test/java/org/bambooarch/core/steering/place/ServerChooserTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.bambooarch.core.steering.config.HomeRegions;
 import org.bambooarch.core.steering.config.ServicePolicy;
 import org.bambooarch.core.steering.fleet.InstanceIdentity;
 import org.bambooarch.core.steering.hash.Hashes;
@@ -27,7 +28,7 @@
     return new ServerEntry("server-" + number, "shop", "10.0.0.1", 80, dataCentre, 5, false, 0, 1);
   }
 
-  private static PlacementQuery query(String object, int priority, Set<String> homes) {
+  private static PlacementQuery query(String object, int priority, HomeRegions homes) {
     return new PlacementQuery(
         "shop",
         "books",
@@ -75,7 +76,7 @@
     ServerChooser other = chooserOf("entry-2", otherTable);
 
     for (int object = 0; object < 50; object++) {
-      PlacementQuery query = query("object-" + object, 0, Set.of());
+      PlacementQuery query = query("object-" + object, 0, HomeRegions.ALL);
       assertThat(idOf(other.choose(query, POLICY, 0))).isEqualTo(choose(query));
     }
   }
@@ -85,7 +86,7 @@
     replaceServers("north-a", "north-a", "north-b", "north-b");
     Map<String, String> before = new HashMap<>();
     for (int object = 0; object < 100; object++) {
-      before.put("object-" + object, choose(query("object-" + object, 0, Set.of())));
+      before.put("object-" + object, choose(query("object-" + object, 0, HomeRegions.ALL)));
     }
 
     table.put(
@@ -93,7 +94,7 @@
 
     before.forEach(
         (object, id) -> {
-          String after = choose(query(object, 0, Set.of()));
+          String after = choose(query(object, 0, HomeRegions.ALL));
           assertThat(after).isNotEqualTo("server-2");
           if (!id.equals("server-2")) {
             assertThat(after).isEqualTo(id);
@@ -104,7 +105,7 @@
   @Test
   void should_refuse_instead_of_warming_another_server_when_the_server_of_an_object_is_full() {
     replaceServers("north-a", "north-a", "north-b", "north-b");
-    PlacementQuery query = query("object", 0, Set.of());
+    PlacementQuery query = query("object", 0, HomeRegions.ALL);
     Set<String> chosen = new java.util.HashSet<>();
     Placement placement = chooser.choose(query, POLICY, 0);
     while (placement instanceof Placement.Chosen(ServerState server, int loadBefore)) {
@@ -125,7 +126,7 @@
   void should_send_few_requests_to_another_region_when_the_server_of_an_object_is_full() {
     replaceServers("north-a", "north-a", "south-a", "south-a");
     chooser.tick(List.of("shop"), 0);
-    PlacementQuery query = query("object", 0, Set.of());
+    PlacementQuery query = query("object", 0, HomeRegions.ALL);
     int asked = 200;
     int sentSouth = 0;
     for (int i = 0; i < asked; i++) {
@@ -145,7 +146,7 @@
   @Test
   void should_accept_only_the_route_that_servers_finish_in_time_when_routes_of_a_service_differ() {
     replaceServers("north-a");
-    PlacementQuery books = query("object", 0, Set.of());
+    PlacementQuery books = query("object", 0, HomeRegions.ALL);
     PlacementQuery reports =
         new PlacementQuery(
             "shop",
@@ -154,7 +155,7 @@
             0,
             books.targetLatencyNanos(),
             books.remainingNanos(),
-            Set.of(),
+            HomeRegions.ALL,
             Set.of());
     ServerState server = table.find("server-0").orElseThrow();
     for (int i = 0; i < 3; i++) {
@@ -171,7 +172,14 @@
     replaceServers("north-a", "north-a");
     PlacementQuery late =
         new PlacementQuery(
-            "shop", "books", 7, 0, 600 * NANOS_PER_MILLI, NANOS_PER_MILLI, Set.of(), Set.of());
+            "shop",
+            "books",
+            7,
+            0,
+            600 * NANOS_PER_MILLI,
+            NANOS_PER_MILLI,
+            HomeRegions.ALL,
+            Set.of());
 
     NoRoomDetails details = ((Placement.NoRoom) chooser.choose(late, POLICY, 0)).details();
 
@@ -186,7 +194,8 @@
     table.put(cold, 3_000, 0);
 
     NoRoomDetails details =
-        ((Placement.NoRoom) chooser.choose(query("object", 0, Set.of()), POLICY, 0)).details();
+        ((Placement.NoRoom) chooser.choose(query("object", 0, HomeRegions.ALL), POLICY, 0))
+            .details();
 
     assertThat(details.coldServers()).isEqualTo(1);
     assertThat(details.candidates()).isZero();
@@ -196,7 +205,7 @@
   void should_report_no_available_server_when_a_service_has_none() {
     replaceServers();
 
-    Placement placement = chooser.choose(query("object", 0, Set.of()), POLICY, 0);
+    Placement placement = chooser.choose(query("object", 0, HomeRegions.ALL), POLICY, 0);
 
     NoRoomDetails details = ((Placement.NoRoom) placement).details();
     assertThat(details.availableServers()).isZero();
@@ -218,7 +227,7 @@
     own.replaceAll(List.of(server(0, "north-a"), server(1, "north-a")), 3_000, 0);
     ServerChooser full = chooserOf("entry-1", own);
     int sent = 0;
-    while (full.choose(query("object", priority, Set.of()), POLICY, 0)
+    while (full.choose(query("object", priority, HomeRegions.ALL), POLICY, 0)
         instanceof Placement.Chosen(ServerState server, int loadBefore)) {
       server.onSent();
       sent++;
@@ -231,7 +240,7 @@
     replaceServers("north-a", "north-b", "north-b");
     table.evacuate("north-b");
     for (int object = 0; object < 30; object++) {
-      assertThat(choose(query("object-" + object, 0, Set.of()))).isEqualTo("server-0");
+      assertThat(choose(query("object-" + object, 0, HomeRegions.ALL))).isEqualTo("server-0");
     }
   }
 
@@ -239,7 +248,7 @@
   void should_choose_a_server_in_the_home_regions_when_a_request_has_some() {
     replaceServers("north-a", "north-b", "south-a", "south-a");
     for (int object = 0; object < 30; object++) {
-      assertThat(choose(query("object-" + object, 0, Set.of("south"))))
+      assertThat(choose(query("object-" + object, 0, HomeRegions.ofListed(Set.of("south")))))
           .isIn("server-2", "server-3");
     }
   }
@@ -247,15 +256,17 @@
   @Test
   void should_refuse_when_the_home_region_has_no_server() {
     replaceServers("north-a", "north-b");
-    assertThat(choose(query("object", 0, Set.of("south")))).isEqualTo("none");
+    assertThat(choose(query("object", 0, HomeRegions.ofListed(Set.of("south"))))).isEqualTo("none");
   }
 
   @Test
   void should_choose_another_server_when_the_first_one_was_unreachable() {
     replaceServers("north-a", "north-a");
-    String first = choose(query("object", 0, Set.of()));
+    String first = choose(query("object", 0, HomeRegions.ALL));
     table.find(first).orElseThrow().onUnreachable(true, 0);
-    assertThat(choose(query("object", 0, Set.of()))).isNotEqualTo(first).isNotEqualTo("none");
+    assertThat(choose(query("object", 0, HomeRegions.ALL)))
+        .isNotEqualTo(first)
+        .isNotEqualTo("none");
   }
 
   @Test
@@ -281,7 +292,10 @@
         Placement placement =
             choosers
                 .get(i)
-                .choose(query("object-" + millis, 0, Set.of()), POLICY, millis * NANOS_PER_MILLI);
+                .choose(
+                    query("object-" + millis, 0, HomeRegions.ALL),
+                    POLICY,
+                    millis * NANOS_PER_MILLI);
         if (placement instanceof Placement.Chosen) {
           sentMillis.add(millis);
         }
--- a/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.bambooarch.core.steering.config.HomeRegions;
 import org.bambooarch.core.steering.config.ServicePolicy;
 import org.bambooarch.core.steering.config.SmoothWeightedRoundRobin;
 import org.bambooarch.core.steering.config.SteeringConfig;
@@ -521,11 +522,11 @@
    * Returns an instance through which requests can be forwarded while this one is partitioned from
    * all servers; empty if there is none.
    *
-   * @param homeRegions the only regions that may serve the request; empty for all
+   * @param homeRegions the only regions that may serve the request
    * @param hash hash of the request, by which one of several instances is chosen
    */
   @Override
-  public Optional<InstanceIdentity> relayInstance(Set<String> homeRegions, long hash) {
+  public Optional<InstanceIdentity> relayInstance(HomeRegions homeRegions, long hash) {
     return RelayChoice.choose(
         fleet.liveHeartbeats(clock.monotonicNanos()), fleet.self().region(), homeRegions, hash);
   }
--- a/gateway/src/main/java/org/bambooarch/gateway/control/RelaySelector.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/RelaySelector.java
@@ -1,7 +1,7 @@
 package org.bambooarch.gateway.control;
 
 import java.util.Optional;
-import java.util.Set;
+import org.bambooarch.core.steering.config.HomeRegions;
 import org.bambooarch.core.steering.fleet.InstanceIdentity;
 
 /** Tells whether requests can reach the servers only through another instance, and which one. */
@@ -13,8 +13,8 @@
   /**
    * Returns an instance through which a request can be forwarded meanwhile; empty if there is none.
    *
-   * @param homeRegions the only regions that may serve the request; empty for all
+   * @param homeRegions the only regions that may serve the request
    * @param hash hash of the request, by which one of several instances is chosen
    */
-  Optional<InstanceIdentity> relayInstance(Set<String> homeRegions, long hash);
+  Optional<InstanceIdentity> relayInstance(HomeRegions homeRegions, long hash);
 }
--- a/gateway/src/main/java/org/bambooarch/gateway/request/ProxyExchange.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/ProxyExchange.java
@@ -95,7 +95,7 @@
     this.newestOnConnection = newestOnConnection;
     this.service = state.roundRobin().next(route);
     this.retryDecider = new RetryDecider(route, service, state.retries());
-    this.homeRegions = HomeRegions.of(route, customer);
+    this.homeRegions = homeRegionsOf(route, customer);
     this.admittedBy = admittedBy;
     this.body = new ClientRequestBody(this, admittedBy.callerLimits().maxBodyBytes());
     this.log = new RequestLogger(context, clientHeaders, route, service, customer);
@@ -107,6 +107,12 @@
         context.loop().schedule(this::onDeadline, remainingNanos(), TimeUnit.NANOSECONDS);
   }
 
+  private static HomeRegions homeRegionsOf(ServiceRoute route, Optional<CustomerPolicy> customer) {
+    return customer
+        .map(ofCustomer -> route.homeRegions().and(ofCustomer.homeRegions()))
+        .orElse(route.homeRegions());
+  }
+
   /** Returns the subscriber that must receive the body of the client's request. */
   ClientRequestBody body() {
     return body;
@@ -219,10 +225,6 @@
 
   private void chooseServerAndSend() {
     timeline.onDecided(state.clock().monotonicNanos());
-    if (homeRegions.excludesAll()) {
-      refuse(RequestOutcome.NO_ROOM, 503, DEFAULT_RETRY_AFTER_MILLIS);
-      return;
-    }
     boolean partitioned = context.relaySelector().isPartitionedFromServers();
     Optional<InstanceIdentity> relay = partitioned ? chooseRelay() : Optional.empty();
     log.onChoseRelay(relay);
@@ -246,7 +248,7 @@
   private Optional<InstanceIdentity> chooseRelay() {
     long hash =
         Hashes.combine(Hashes.of(clientHeaders.requestId()), retryDecider.triedServers().size());
-    return context.relaySelector().relayInstance(homeRegions.regions(), hash);
+    return context.relaySelector().relayInstance(homeRegions, hash);
   }
 
   /** Refuses the request, for which there is no server now, as not run unless it may have run. */
@@ -271,7 +273,7 @@
         priority,
         Math.max(0, route.targetLatencyMillis() * NANOS_PER_MILLI - elapsedNanos()),
         remainingNanos(),
-        homeRegions.regions(),
+        homeRegions,
         retryDecider.triedServers());
   }
 
--- a/gateway/src/main/java/org/bambooarch/gateway/warmup/WarmUpStore.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/warmup/WarmUpStore.java
@@ -1,9 +1,9 @@
 package org.bambooarch.gateway.warmup;
 
 import java.util.List;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.bambooarch.core.steering.config.CallerLimits;
+import org.bambooarch.core.steering.config.HomeRegions;
 import org.bambooarch.core.steering.config.ServicePolicy;
 import org.bambooarch.core.steering.config.ServiceRoute;
 import org.bambooarch.core.steering.config.SteeringConfig;
@@ -54,7 +54,7 @@
             0,
             true,
             true,
-            Set.of(),
+            HomeRegions.ALL,
             List.of(new WeightedService(SERVICE, 1)));
     ServicePolicy policy = new ServicePolicy(SERVICE, "/", SLOTS, 0, SLOTS);
     CallerLimits limits = new CallerLimits(1 << 14, 1 << 20, TIMEOUT_MILLIS, TIMEOUT_MILLIS);
--- a/gateway/src/test/java/org/bambooarch/gateway/bodypath/BodyPathWorld.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/bodypath/BodyPathWorld.java
@@ -36,6 +36,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.bambooarch.core.steering.config.CallerLimits;
+import org.bambooarch.core.steering.config.HomeRegions;
 import org.bambooarch.core.steering.config.ServicePolicy;
 import org.bambooarch.core.steering.config.ServiceRoute;
 import org.bambooarch.core.steering.config.SteeringConfig;
@@ -188,7 +189,7 @@
         0,
         true,
         false,
-        Set.of(),
+        HomeRegions.ALL,
         List.of(new WeightedService(SERVICE, 1)));
   }
 
@@ -254,7 +255,7 @@
     }
 
     @Override
-    public Optional<InstanceIdentity> relayInstance(Set<String> homeRegions, long hash) {
+    public Optional<InstanceIdentity> relayInstance(HomeRegions homeRegions, long hash) {
       return Optional.of(
           new InstanceIdentity(
               "entry-2", 1, "north", "north-a", RELAY_ADDRESS + ":2", RELAY_ADDRESS + ":1"));
--- a/gateway/src/test/java/org/bambooarch/gateway/request/RequestLoggerTest.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/request/RequestLoggerTest.java
@@ -10,9 +10,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.bambooarch.core.steering.RetryDecider;
+import org.bambooarch.core.steering.config.HomeRegions;
 import org.bambooarch.core.steering.config.ServiceRoute;
 import org.bambooarch.core.steering.config.WeightedService;
 import org.bambooarch.core.steering.fleet.InstanceIdentity;
@@ -105,7 +105,7 @@
             0,
             true,
             false,
-            Set.of(),
+            HomeRegions.ALL,
             List.of(new WeightedService("shop", 1)));
     return new RequestLogger(
         context,
