Share a server's limit with stopping instances that still accept requests

A server that names a limit could get more than that: an instance that stops goes on sending for seconds, the others divided the limit as if it sent nothing. Instances of older builds do not report it and are left out as before.

--- a/core/src/main/java/org/bambooarch/core/steering/fleet/FleetTable.java
+++ b/core/src/main/java/org/bambooarch/core/steering/fleet/FleetTable.java
@@ -188,14 +188,14 @@
   /**
    * Returns the other instances that may be sending requests to servers: those that are live, that
    * may be alive behind a network partition, or that the platform has listed lately, without those
-   * that have reported that they take no callers or reach no server.
+   * that have reported that they accept no requests or reach no server.
    */
   public List<InstanceIdentity> possibleSenders(long nowNanos) {
     List<InstanceIdentity> senders = new ArrayList<>();
     for (Peer peer : peers.values()) {
       boolean mayBeAlive = nowNanos - lastSeenNanos(peer) < POSSIBLY_ALIVE_NANOS;
       boolean mayBeSending =
-          !peer.heard || (peer.newest.takesCallers() && !peer.newest.partitionedFromServers());
+          !peer.heard || (acceptsRequests(peer, nowNanos) && !peer.newest.partitionedFromServers());
       if (mayBeAlive && mayBeSending) {
         senders.add(peer.identity);
       }
@@ -211,14 +211,21 @@
       if (!live || peer.newest.takesCallers()) {
         continue;
       }
-      long acceptUntilNanos = peer.heardNanos + peer.newest.acceptsForMillis() * NANOS_PER_MILLI;
-      if (nowNanos - acceptUntilNanos < 0) {
-        stopping.add(new StoppingInstance(peer.identity, acceptUntilNanos));
+      if (acceptsRequests(peer, nowNanos)) {
+        stopping.add(new StoppingInstance(peer.identity, acceptUntilNanos(peer)));
       }
     }
     return stopping;
   }
 
+  private static boolean acceptsRequests(Peer peer, long nowNanos) {
+    return peer.newest.takesCallers() || nowNanos - acceptUntilNanos(peer) < 0;
+  }
+
+  private static long acceptUntilNanos(Peer peer) {
+    return peer.heardNanos + peer.newest.acceptsForMillis() * NANOS_PER_MILLI;
+  }
+
   /** Returns whether another instance of the region was heard or listed lately, live or silent. */
   public boolean hasRecentInstance(String region, long nowNanos) {
     return peers.values().stream()
--- a/core/src/test/java/org/bambooarch/core/steering/fleet/FleetTableTest.java
+++ b/core/src/test/java/org/bambooarch/core/steering/fleet/FleetTableTest.java
@@ -17,12 +17,16 @@
   }
 
   private boolean receiveHeartbeat(String name, long incarnation, long atMillis) {
-    InstanceIdentity sender = instance(name, incarnation);
+    return receiveHeartbeat(instance(name, incarnation), true, 0, atMillis);
+  }
+
+  private boolean receiveHeartbeat(
+      InstanceIdentity sender, boolean takesCallers, long acceptsForMillis, long atMillis) {
     return table.onHeartbeat(
         new Heartbeat(
             sender,
-            true,
-            0,
+            takesCallers,
+            acceptsForMillis,
             false,
             1,
             ListVersions.NONE,
@@ -130,6 +134,40 @@
     assertThat(heartbeatsSentTo("other", 300_000, 302_000)).isEqualTo(4);
   }
 
+  @Test
+  void should_know_a_stopping_instance_as_long_as_it_accepts_requests_and_is_heard() {
+    InstanceIdentity stopping = instance("stopping", 1);
+    receiveHeartbeat(stopping, false, 1_500, 1_000);
+
+    assertThat(table.stoppingInstances(2_499 * NANOS_PER_MILLI))
+        .containsExactly(new StoppingInstance(stopping, 2_500 * NANOS_PER_MILLI));
+    assertThat(table.stoppingInstances(2_500 * NANOS_PER_MILLI)).isEmpty();
+
+    receiveHeartbeat(stopping, false, 9_000, 3_000);
+    assertThat(table.stoppingInstances(5_249 * NANOS_PER_MILLI)).hasSize(1);
+    assertThat(table.stoppingInstances(5_250 * NANOS_PER_MILLI)).as("silent").isEmpty();
+  }
+
+  @Test
+  void should_know_no_stopping_instance_when_it_takes_callers_or_accepts_no_requests() {
+    receiveHeartbeat("ready", 1, 0);
+    receiveHeartbeat(instance("starting", 1), false, 0, 0);
+
+    assertThat(table.stoppingInstances(1)).isEmpty();
+  }
+
+  // A server that names a limit got more than that from instances that were stopping.
+  @Test
+  void should_count_a_stopping_instance_as_a_possible_sender_while_it_accepts_requests() {
+    receiveHeartbeat(instance("stopping", 1), false, 1_500, 1_000);
+    receiveHeartbeat(instance("starting", 1), false, 0, 1_000);
+
+    assertThat(table.possibleSenders(2_499 * NANOS_PER_MILLI))
+        .extracting(InstanceIdentity::name)
+        .containsExactly("stopping");
+    assertThat(table.possibleSenders(2_500 * NANOS_PER_MILLI)).isEmpty();
+  }
+
   @Test
   void should_forget_an_instance_that_has_been_silent_for_hours() {
     receiveHeartbeat("other", 7, 0);
