Let the answer to a look-up state from how near its addresses come

InstanceDirectory now returns the addresses together with the step of the choice that they come from: the data centre, the region, any region, or none. The choice is unchanged.

--- a/core/src/main/java/org/bambooarch/core/steering/fleet/InstanceDirectory.java
+++ b/core/src/main/java/org/bambooarch/core/steering/fleet/InstanceDirectory.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Predicate;
 
 /**
  * Chooses the instances whose addresses a caller gets when it looks instances up.
@@ -19,7 +20,7 @@
   private InstanceDirectory() {}
 
   /**
-   * Returns the sorted addresses for a caller; empty if no live instance takes callers.
+   * Returns the answer to a caller's look-up; without addresses if no live instance takes callers.
    *
    * @param fleet this instance and the others
    * @param selfTakesCallers whether this instance takes callers
@@ -28,7 +29,7 @@
    * @param dataCentre data centre of the caller
    * @param nowNanos monotonic time, in nanoseconds
    */
-  public static List<String> addresses(
+  public static DirectoryAnswer answer(
       FleetTable fleet,
       boolean selfTakesCallers,
       boolean selfPartitioned,
@@ -46,16 +47,27 @@
       }
     }
     List<InstanceIdentity> taking = reaching.isEmpty() ? partitioned : reaching;
+    return nearest(taking, region, dataCentre);
+  }
+
+  private static DirectoryAnswer nearest(
+      List<InstanceIdentity> taking, String region, String dataCentre) {
+    if (taking.isEmpty()) {
+      return new DirectoryAnswer(List.of(), DirectoryScope.NONE);
+    }
     List<String> near = addressesOf(taking, i -> i.dataCentre().equals(dataCentre));
     if (!near.isEmpty()) {
-      return near;
+      return new DirectoryAnswer(near, DirectoryScope.DATA_CENTRE);
     }
     List<String> inRegion = addressesOf(taking, i -> i.region().equals(region));
-    return inRegion.isEmpty() ? addressesOf(taking, i -> true) : inRegion;
+    if (!inRegion.isEmpty()) {
+      return new DirectoryAnswer(inRegion, DirectoryScope.REGION);
+    }
+    return new DirectoryAnswer(addressesOf(taking, i -> true), DirectoryScope.ANY_REGION);
   }
 
   private static List<String> addressesOf(
-      List<InstanceIdentity> instances, java.util.function.Predicate<InstanceIdentity> condition) {
+      List<InstanceIdentity> instances, Predicate<InstanceIdentity> condition) {
     return instances.stream()
         .filter(condition)
         .map(InstanceIdentity::callersAddress)
--- a/core/src/test/java/org/bambooarch/core/steering/fleet/InstanceDirectoryTest.java
+++ b/core/src/test/java/org/bambooarch/core/steering/fleet/InstanceDirectoryTest.java
@@ -43,10 +43,19 @@
 
   private List<String> addresses(
       boolean self, boolean selfPartitioned, String region, String dataCentre, long atMillis) {
-    return InstanceDirectory.addresses(
+    return answer(self, selfPartitioned, region, dataCentre, atMillis).addresses();
+  }
+
+  private DirectoryAnswer answer(
+      boolean self, boolean selfPartitioned, String region, String dataCentre, long atMillis) {
+    return InstanceDirectory.answer(
         fleet, self, selfPartitioned, region, dataCentre, atMillis * NANOS_PER_MILLI);
   }
 
+  private DirectoryScope scope(boolean self, String region, String dataCentre, long atMillis) {
+    return answer(self, false, region, dataCentre, atMillis).scope();
+  }
+
   @Test
   void should_name_instances_of_data_centre_then_region_then_any_when_nearer_ones_are_missing() {
     receiveHeartbeat(instance("near", "south", "south-a"), true, 0);
@@ -94,4 +103,25 @@
     assertThat(addresses(true, true, "north", "north-a", 1)).containsExactly("self:80");
     assertThat(addresses(true, true, "north", "north-b", 1)).containsExactly("cut:80");
   }
+
+  // Incident bluemahoe-codes: nothing told from where the instances that a look-up named came.
+  @Test
+  void should_state_the_nearest_place_with_instances_when_it_answers() {
+    receiveHeartbeat(instance("near", "south", "south-a"), true, 0);
+
+    assertThat(scope(true, "south", "south-a", 1)).isEqualTo(DirectoryScope.DATA_CENTRE);
+    assertThat(scope(true, "south", "south-b", 1)).isEqualTo(DirectoryScope.REGION);
+    assertThat(scope(true, "west", "west-a", 1)).isEqualTo(DirectoryScope.ANY_REGION);
+    assertThat(scope(true, "south", "south-a", 2_250)).isEqualTo(DirectoryScope.ANY_REGION);
+    assertThat(scope(false, "south", "south-a", 2_250)).isEqualTo(DirectoryScope.NONE);
+  }
+
+  @Test
+  void should_state_any_region_when_the_own_region_has_only_stopping_or_partitioned_instances() {
+    receiveHeartbeat(instance("stopping", "south", "south-a"), false, 0);
+    receiveHeartbeat(instance("cut", "south", "south-a"), true, true, 0);
+
+    assertThat(scope(true, "south", "south-a", 1)).isEqualTo(DirectoryScope.ANY_REGION);
+    assertThat(scope(false, "south", "south-a", 1)).isEqualTo(DirectoryScope.DATA_CENTRE);
+  }
 }
--- a/gateway/src/main/java/org/bambooarch/gateway/endpoint/DirectoryService.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/endpoint/DirectoryService.java
@@ -6,8 +6,8 @@
 import com.linecorp.armeria.common.MediaType;
 import com.linecorp.armeria.server.HttpService;
 import com.linecorp.armeria.server.ServiceRequestContext;
-import java.util.List;
 import java.util.Optional;
+import org.bambooarch.core.steering.fleet.DirectoryAnswer;
 import org.bambooarch.core.steering.fleet.InstanceDirectory;
 import org.bambooarch.gateway.control.ControlState;
 
@@ -38,18 +38,18 @@
     if (lookup.isEmpty()) {
       return HttpResponse.of(HttpStatus.NOT_FOUND);
     }
-    List<String> addresses =
-        InstanceDirectory.addresses(
+    DirectoryAnswer answer =
+        InstanceDirectory.answer(
             state.fleet(),
             state.isReady(),
             state.isPartitionedFromServers(),
             lookup.get().region(),
             lookup.get().dataCentre(),
             state.clock().monotonicNanos());
-    if (addresses.isEmpty()) {
+    if (answer.addresses().isEmpty()) {
       return HttpResponse.of(HttpStatus.SERVICE_UNAVAILABLE);
     }
     return HttpResponse.of(
-        HttpStatus.OK, MediaType.JSON, format.lookupResponse(addresses, ttlMillis));
+        HttpStatus.OK, MediaType.JSON, format.lookupResponse(answer.addresses(), ttlMillis));
   }
 }
