Count all look-ups, and log those without an instance of the caller's region

bambooarch_lookups_total counts answers by scope. An answer that names another region, or no instance, is logged with whether the instance was ready, stopping or partitioned, for how long it was up, and how many instances of the caller's region it knew, had never heard, heard, and heard as taking callers; ten lines a second for each of the two scopes. The caller's words are written as one bounded word each, by the function that the ids in response-skipped went through.

--- a/core/src/main/java/org/bambooarch/core/steering/fleet/FleetTable.java
+++ b/core/src/main/java/org/bambooarch/core/steering/fleet/FleetTable.java
@@ -236,6 +236,20 @@
     return peers.size() + 1;
   }
 
+  /** Returns how many other instances of a region are known, and what they report. */
+  public RegionCounts countOthersIn(String region, long nowNanos) {
+    List<Peer> known =
+        peers.values().stream().filter(peer -> peer.identity.region().equals(region)).toList();
+    int unheard = (int) known.stream().filter(peer -> !peer.heard).count();
+    List<Heartbeat> live =
+        liveHeartbeats(nowNanos).stream()
+            .filter(heartbeat -> heartbeat.sender().region().equals(region))
+            .toList();
+    List<Heartbeat> taking = live.stream().filter(Heartbeat::takesCallers).toList();
+    int partitioned = (int) taking.stream().filter(Heartbeat::partitionedFromServers).count();
+    return new RegionCounts(known.size(), unheard, live.size(), taking.size(), partitioned);
+  }
+
   /** Returns the time since the last heartbeat of an instance, in ns; empty if there was none. */
   public Optional<Long> nanosSinceHeartbeat(String instance, long nowNanos) {
     Peer peer = peers.get(instance);
--- a/gateway/src/main/java/org/bambooarch/gateway/Gateway.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/Gateway.java
@@ -31,6 +31,7 @@
 import org.bambooarch.gateway.endpoint.DirectoryFormat;
 import org.bambooarch.gateway.endpoint.DirectoryService;
 import org.bambooarch.gateway.endpoint.LoggingErrorHandler;
+import org.bambooarch.gateway.endpoint.LookupLogger;
 import org.bambooarch.gateway.endpoint.PortRouter;
 import org.bambooarch.gateway.endpoint.RawRequestUri;
 import org.bambooarch.gateway.endpoint.ReadinessService;
@@ -197,7 +198,11 @@
                 settings.readinessAddress(), new ReadinessService(state, directoryFormat)),
             new PortRouter.Listener(
                 settings.directoryAddress(),
-                new DirectoryService(state, directoryFormat, settings.lookupTtlMillis())),
+                new DirectoryService(
+                    state,
+                    directoryFormat,
+                    settings.lookupTtlMillis(),
+                    new LookupLogger(state, requestLog, metrics))),
             new PortRouter.Listener(settings.peerAddress(), relayService)));
   }
 
--- a/gateway/src/main/java/org/bambooarch/gateway/endpoint/DirectoryService.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/endpoint/DirectoryService.java
@@ -20,16 +20,20 @@
   private final ControlState state;
   private final DirectoryFormat format;
   private final long ttlMillis;
+  private final LookupLogger log;
 
   /**
    * Creates the service.
    *
    * @param ttlMillis how long a client may cache a response, in milliseconds
+   * @param log told of each answer
    */
-  public DirectoryService(ControlState state, DirectoryFormat format, long ttlMillis) {
+  public DirectoryService(
+      ControlState state, DirectoryFormat format, long ttlMillis, LookupLogger log) {
     this.state = state;
     this.format = format;
     this.ttlMillis = ttlMillis;
+    this.log = log;
   }
 
   @Override
@@ -46,6 +50,7 @@
             lookup.get().region(),
             lookup.get().dataCentre(),
             state.clock().monotonicNanos());
+    log.onAnswered(lookup.get(), answer);
     if (answer.addresses().isEmpty()) {
       return HttpResponse.of(HttpStatus.SERVICE_UNAVAILABLE);
     }
--- a/gateway/src/main/java/org/bambooarch/gateway/observability/GatewayMetrics.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/observability/GatewayMetrics.java
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import java.util.function.DoubleSupplier;
+import org.bambooarch.core.steering.fleet.DirectoryScope;
 
 /** The Prometheus metrics of one instance. */
 public final class GatewayMetrics {
@@ -50,6 +51,12 @@
           .help("Responses of servers that were passed on to no request, by reason.")
           .labelNames("reason")
           .register(registry);
+  private final Counter lookups =
+      Counter.builder()
+          .name("bambooarch_lookups")
+          .help("Look-ups by how near to the caller the instances are that the answer names.")
+          .labelNames("scope")
+          .register(registry);
   private final Histogram latency =
       Histogram.builder()
           .name("bambooarch_request_seconds")
@@ -95,9 +102,14 @@
     skippedResponses.labelValues(reason).inc();
   }
 
-  /** Returns the name of an outcome in logs and metric labels, for example {@code no-route}. */
-  public static String labelOf(RequestOutcome outcome) {
-    return outcome.name().toLowerCase(Locale.ROOT).replace('_', '-');
+  /** Counts a look-up by the scope of its answer. */
+  public void onLookup(DirectoryScope scope) {
+    lookups.labelValues(labelOf(scope)).inc();
+  }
+
+  /** Returns the name of a constant in logs and metric labels, for example {@code no-route}. */
+  public static String labelOf(Enum<?> constant) {
+    return constant.name().toLowerCase(Locale.ROOT).replace('_', '-');
   }
 
   /** Returns all metrics in the Prometheus text format; reads the gauges on the calling thread. */
--- a/gateway/src/main/java/org/bambooarch/gateway/request/SkippedResponseLogger.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/SkippedResponseLogger.java
@@ -1,7 +1,7 @@
 package org.bambooarch.gateway.request;
 
-import java.util.Locale;
 import org.bambooarch.gateway.observability.GatewayMetrics;
+import org.bambooarch.gateway.observability.LogWord;
 import org.bambooarch.gateway.observability.RequestEventLog;
 import org.bambooarch.gateway.target.SkippedResponse;
 import org.bambooarch.gateway.target.SkippedResponseListener;
@@ -9,8 +9,6 @@
 /** Counts and logs responses that were passed on to no request. Used on the event loop only. */
 public final class SkippedResponseLogger implements SkippedResponseListener {
 
-  private static final int MAX_ID_LENGTH = 64;
-
   private final RequestEventLog requestLog;
   private final GatewayMetrics metrics;
 
@@ -22,14 +20,14 @@
 
   @Override
   public void onResponseSkipped(String server, SkippedResponse response) {
-    String reason = response.reason().name().toLowerCase(Locale.ROOT).replace('_', '-');
+    String reason = GatewayMetrics.labelOf(response.reason());
     metrics.onResponseSkipped(reason);
     if (requestLog.tryAcquireLineOfCause("response-skipped")) {
       requestLog.write(
           "event=response-skipped request=%s received=%s status=%d reason=%s server=%s"
                   .formatted(
-                      toWord(response.requestId()),
-                      toWord(response.receivedId()),
+                      LogWord.of(response.requestId()),
+                      LogWord.of(response.receivedId()),
                       response.status(),
                       reason,
                       server)
@@ -37,12 +35,4 @@
               + response.use().describe());
     }
   }
-
-  /** Returns an id as one bounded word, since a server may send any text. */
-  private static String toWord(String id) {
-    if (id.isEmpty()) {
-      return "-";
-    }
-    return id.substring(0, Math.min(id.length(), MAX_ID_LENGTH)).replaceAll("[^!#-~]", "?");
-  }
 }
