Log the regions and homes of a request, and each attempt outside its homes

An attempt whose server or relay is in a region that is no home has a line outside-homes when it is sent, and an answer to such an attempt is not sampled away; ten lines a second each. Nothing that is decided changes. explain would have called such a line a failed attempt, and now calls it what it is.

--- a/cli/src/main/java/org/bambooarch/cli/explain/OutcomeDescriptions.java
+++ b/cli/src/main/java/org/bambooarch/cli/explain/OutcomeDescriptions.java
@@ -46,13 +46,18 @@
           "the connection to server %s ended (%s), so it is not known whether the request ran"
               .formatted(last.field("server"), last.field("cause"));
       case "caller-left" -> "the caller left before the request ended " + elapsed(last);
-      case "" ->
-          "not known yet, the last line is about a failed attempt at server "
-              + last.field("server");
+      case "" -> unfinished(last);
       default -> "outcome " + last.field("outcome") + " has no explanation here";
     };
   }
 
+  private static String unfinished(LogLine last) {
+    String kind =
+        last.event().equals("outside-homes") ? "an attempt outside its homes" : "a failed attempt";
+    return "not known yet, the last line is about %s at server %s"
+        .formatted(kind, last.field("server"));
+  }
+
   /** Returns the attempts of a request that had more than one. */
   private static String attempts(LogLine last) {
     String attempts = last.field("attempts");
--- a/cli/src/test/java/org/bambooarch/cli/explain/LogExplainerTest.java
+++ b/cli/src/test/java/org/bambooarch/cli/explain/LogExplainerTest.java
@@ -67,6 +67,21 @@
         .explain(new LogQuery.ByRequest(id));
   }
 
+  // Guards against reporting an attempt outside the homes as one that failed.
+  @Test
+  void should_name_an_attempt_outside_the_homes_when_its_line_is_the_only_one() throws IOException {
+    List<String> answer =
+        explainLines(
+            "r1",
+            "event=outside-homes request=r1 route=reads service=shop customer=- server=i-a"
+                + " server-region=north homes=south self-region=north config=7");
+
+    assertThat(answer.getLast())
+        .isEqualTo(
+            "cause: not known yet, the last line is about an attempt outside its homes at server"
+                + " i-a");
+  }
+
   // Guards against taking the line of a late response for how the request ended.
   @Test
   void should_name_attempts_and_skipped_responses_when_a_request_was_sent_twice()
--- a/gateway/src/main/java/org/bambooarch/gateway/request/ProxyExchange.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/ProxyExchange.java
@@ -98,7 +98,9 @@
     this.homeRegions = homeRegionsOf(route, customer);
     this.admittedBy = admittedBy;
     this.body = new ClientRequestBody(this, admittedBy.callerLimits().maxBodyBytes());
-    this.log = new RequestLogger(context, clientHeaders, route, service, customer);
+    this.log =
+        new RequestLogger(
+            context, clientHeaders, route, service, customer, homeRegions, admittedBy.version());
     long readNanos = state.clock().monotonicNanos();
     this.time = RequestTime.of(readNanos - unreadNanos, clientHeaders.timeoutMillisOn(route));
     this.timeline = new RequestTimeline(time, readNanos);
@@ -287,6 +289,7 @@
   private void send(
       PlacementQuery query, ServerState chosen, int loadBefore, Optional<InstanceIdentity> relay) {
     server = chosen;
+    log.onChosen(chosen, relay);
     retryDecider.onChosen(chosen.entry().id());
     chosen.onSent();
     context.metrics().onRequestSent();
--- a/gateway/src/main/java/org/bambooarch/gateway/request/RequestLogger.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/RequestLogger.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import org.bambooarch.core.steering.RetryDecider;
 import org.bambooarch.core.steering.config.CustomerPolicy;
+import org.bambooarch.core.steering.config.HomeRegions;
 import org.bambooarch.core.steering.config.ServiceRoute;
 import org.bambooarch.core.steering.config.SteeringConfig;
 import org.bambooarch.core.steering.fleet.InstanceIdentity;
@@ -26,22 +27,34 @@
   private final ServiceRoute route;
   private final String service;
   private final Optional<CustomerPolicy> customer;
+  private final RequestPlaces places;
+  private final long admittedVersion;
   private final AttemptTraces attempts = new AttemptTraces();
   private String lastFailure = "";
   private String noRoomDetails = "";
   private String via = "";
 
+  /**
+   * Creates the logger of a request that was sent nowhere.
+   *
+   * @param homes the regions that may serve the request
+   * @param admittedVersion version of the configuration by which the request was admitted
+   */
   RequestLogger(
       GatewayContext context,
       ClientRequestHeaders clientHeaders,
       ServiceRoute route,
       String service,
-      Optional<CustomerPolicy> customer) {
+      Optional<CustomerPolicy> customer,
+      HomeRegions homes,
+      long admittedVersion) {
     this.context = context;
     this.clientHeaders = clientHeaders;
     this.route = route;
     this.service = service;
     this.customer = customer;
+    this.places = new RequestPlaces(homes, context.state().fleet().self().region());
+    this.admittedVersion = admittedVersion;
   }
 
   /**
@@ -52,6 +65,27 @@
     via = relay.map(instance -> " via=" + instance.name()).orElse("");
   }
 
+  /**
+   * Records the server of the next attempt, and logs the attempt if the server or the relay is in a
+   * region that is no home of the request.
+   */
+  void onChosen(ServerState server, Optional<InstanceIdentity> relay) {
+    places.onChosen(server, relay);
+    if (places.areOutsideHomes() && context.requestLog().tryAcquireLineOfCause("outside-homes")) {
+      context
+          .requestLog()
+          .write(
+              "event=outside-homes request=%s %s server=%s %s%s %s"
+                  .formatted(
+                      clientHeaders.requestId(),
+                      origin(),
+                      server.entry().id(),
+                      places.describe(),
+                      via,
+                      describeVersions()));
+    }
+  }
+
   /** Records an attempt that begins now; the line about the finished request states it. */
   void onAttempt(AttemptTrace trace) {
     attempts.add(trace);
@@ -90,8 +124,8 @@
 
   /**
    * Logs how the request ended. Requests answered with a success are sampled, unless an earlier
-   * attempt was sent or their connection has had a response that was skipped; all others are logged
-   * up to the rate limits of the log.
+   * attempt was sent, their connection has had a response that was skipped, or the last attempt
+   * went outside their homes; all others are logged up to the rate limits of the log.
    *
    * @param status HTTP status of the response, or 0 if there is none or it was aborted
    * @param cause short reason for the log; empty if nothing failed
@@ -112,16 +146,16 @@
     if (shouldLog(outcome, status)) {
       String subject = subject();
       String ending = ending(outcome, status, cause, server, sends, durationNanos);
-      long version = context.state().config().map(SteeringConfig::version).orElse(0L);
       context
           .requestLog()
           .write(
-              "event=request-finished %s %s%s config=%d %s %s"
+              "event=request-finished %s %s %s%s %s %s %s"
                   .formatted(
                       subject,
                       ending,
+                      places.describe(),
                       via,
-                      version,
+                      describeVersions(),
                       timeline.describe(context.state().eventLoopLagNanos()),
                       noRoomDetails));
     }
@@ -137,20 +171,34 @@
     if (attempts.wasSentBeforeLast()) {
       return context.requestLog().tryAcquireLineOfCause("answered-after-retry");
     }
+    if (places.areOutsideHomes()) {
+      return context.requestLog().tryAcquireLineOfCause("answered-outside-homes");
+    }
     return context.requestLog().shouldSampleAnswered();
   }
 
+  /** Returns the version in force, and the one that admitted the request if it is another one. */
+  private String describeVersions() {
+    long version = context.state().config().map(SteeringConfig::version).orElse(0L);
+    return "config="
+        + version
+        + (version == admittedVersion ? "" : " admitted-by=" + admittedVersion);
+  }
+
   private String subject() {
-    return "request=%s %s route=%s service=%s customer=%s object=%s"
+    return "request=%s %s %s object=%s"
         .formatted(
             clientHeaders.requestId(),
             attempts.describe(),
-            route.name(),
-            service,
-            customer.map(CustomerPolicy::name).orElse("-"),
+            origin(),
             clientHeaders.object().orElse("-"));
   }
 
+  private String origin() {
+    return "route=%s service=%s customer=%s"
+        .formatted(route.name(), service, customer.map(CustomerPolicy::name).orElse("-"));
+  }
+
   private String ending(
       RequestOutcome outcome,
       int status,
--- a/gateway/src/test/java/org/bambooarch/gateway/request/RequestLoggerTest.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/request/RequestLoggerTest.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.bambooarch.core.steering.RetryDecider;
 import org.bambooarch.core.steering.config.HomeRegions;
@@ -93,6 +94,11 @@
   }
 
   private RequestLogger newLogger(String id) {
+    return newLogger(id, HomeRegions.ALL);
+  }
+
+  /** Returns the logger of a request that was admitted by version 7. */
+  private RequestLogger newLogger(String id, HomeRegions homes) {
     ServiceRoute route =
         new ServiceRoute(
             "lookup",
@@ -105,14 +111,26 @@
             0,
             true,
             false,
-            HomeRegions.ALL,
+            homes,
             List.of(new WeightedService("shop", 1)));
     return new RequestLogger(
         context,
         new ClientRequestHeaders(id, OptionalLong.empty(), Optional.empty(), Optional.empty()),
         route,
         "shop",
-        Optional.empty());
+        Optional.empty(),
+        homes,
+        7);
+  }
+
+  private static InstanceIdentity relayIn(String region) {
+    return new InstanceIdentity("entry-2", 1, region, region + "-a", "b:1", "b:2");
+  }
+
+  private void sendThrough(RequestLogger logger, Optional<InstanceIdentity> relay) {
+    logger.onChoseRelay(relay);
+    logger.onChosen(server, relay);
+    logger.onAttempt(sentAttempt("i-a", 1, 200));
   }
 
   private AttemptTrace sentAttempt(String serverId, long order, int status) {
@@ -249,4 +267,86 @@
     assertThat(metrics.toText())
         .contains("bambooarch_skipped_responses_total{reason=\"other-request\"} 1.0");
   }
+
+  // Regression: no line told in which regions a request may run, and in which ones it ran.
+  @Test
+  void should_log_homes_and_regions_when_a_request_with_homes_finishes() {
+    RequestLogger logger = newLogger("r1", HomeRegions.ofListed(List.of("south", "north")));
+    sendThrough(logger, Optional.of(relayIn("south")));
+    finishAnswered(logger, 1);
+
+    assertThat(written())
+        .contains(
+            " took-millis=0 server-region=north relay-region=south homes=north,south"
+                + " self-region=north via=entry-2 config=0 admitted-by=7 ")
+        .doesNotContain("outside-homes");
+  }
+
+  @Test
+  void should_log_the_servers_region_without_homes_when_all_regions_are_homes() {
+    RequestLogger logger = newLogger("r1");
+    sendThrough(logger, Optional.empty());
+    finishAnswered(logger, 1);
+
+    assertThat(written())
+        .contains(" took-millis=0 server-region=north config=")
+        .doesNotContain("homes=")
+        .doesNotContain("outside-homes");
+  }
+
+  @Test
+  void should_log_no_region_of_a_server_when_none_was_chosen() {
+    RequestLogger logger = newLogger("r1", new HomeRegions.Only(Set.of()));
+    logger.onFinished(
+        RequestOutcome.NO_ROOM,
+        503,
+        "",
+        Optional.empty(),
+        0,
+        0,
+        new RequestTimeline(RequestTime.of(0, 1_000), 0));
+
+    assertThat(written()).contains(" server-region=- homes=- self-region=north ");
+  }
+
+  // Regression: no line told that a request was sent to a region that is none of its homes.
+  @Test
+  void should_log_the_attempt_when_its_server_is_outside_the_homes() {
+    useUpSample();
+    RequestLogger logger = newLogger("r1", HomeRegions.ofListed(List.of("south")));
+    sendThrough(logger, Optional.empty());
+    finishAnswered(logger, 1);
+
+    assertThat(written())
+        .contains(
+            "event=outside-homes request=r1 route=lookup service=shop customer=- server=i-a"
+                + " server-region=north homes=south self-region=north config=0 admitted-by=7")
+        .contains("event=request-finished request=r1 ");
+  }
+
+  @Test
+  void should_log_the_attempt_when_its_relay_is_outside_the_homes() {
+    useUpSample();
+    RequestLogger logger = newLogger("r1", HomeRegions.ofListed(List.of("north")));
+    sendThrough(logger, Optional.of(relayIn("south")));
+    finishAnswered(logger, 1);
+
+    assertThat(written())
+        .contains("event=outside-homes request=r1 ")
+        .contains(
+            " server-region=north relay-region=south homes=north self-region=north via=entry-2 ");
+  }
+
+  @Test
+  void should_limit_the_lines_about_attempts_outside_the_homes_when_there_are_many() {
+    for (int i = 0; i < 30; i++) {
+      sendThrough(newLogger("r" + i, HomeRegions.ofListed(List.of("south"))), Optional.empty());
+    }
+    clock.advanceMillis(1_000);
+    requestLog.tick();
+
+    String text = written();
+    assertThat(text.lines().filter(line -> line.contains("event=outside-homes"))).hasSize(10);
+    assertThat(text).contains("event=lines-suppressed cause=outside-homes lines=20");
+  }
 }
