--- a/gateway/src/main/java/org/bambooarch/gateway/endpoint/DirectoryService.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/endpoint/DirectoryService.java
@@ -6,8 +6,8 @@
 import com.linecorp.armeria.common.MediaType;
 import com.linecorp.armeria.server.HttpService;
 import com.linecorp.armeria.server.ServiceRequestContext;
-import java.util.List;
 import java.util.Optional;
+import org.bambooarch.core.steering.fleet.DirectoryAnswer;
 import org.bambooarch.core.steering.fleet.InstanceDirectory;
 import org.bambooarch.gateway.control.ControlState;
 
@@ -20,16 +20,20 @@
   private final ControlState state;
   private final DirectoryFormat format;
   private final long ttlMillis;
+  private final LookupLogger log;
 
   /**
    * Creates the service.
    *
    * @param ttlMillis how long a client may cache a response, in milliseconds
+   * @param log told of each answer
    */
-  public DirectoryService(ControlState state, DirectoryFormat format, long ttlMillis) {
+  public DirectoryService(
+      ControlState state, DirectoryFormat format, long ttlMillis, LookupLogger log) {
     this.state = state;
     this.format = format;
     this.ttlMillis = ttlMillis;
+    this.log = log;
   }
 
   @Override
@@ -38,18 +42,19 @@
     if (lookup.isEmpty()) {
       return HttpResponse.of(HttpStatus.NOT_FOUND);
     }
-    List<String> addresses =
-        InstanceDirectory.addresses(
+    DirectoryAnswer answer =
+        InstanceDirectory.answer(
             state.fleet(),
             state.isReady(),
             state.isPartitionedFromServers(),
             lookup.get().region(),
             lookup.get().dataCentre(),
             state.clock().monotonicNanos());
-    if (addresses.isEmpty()) {
+    log.onAnswered(lookup.get(), answer);
+    if (answer.addresses().isEmpty()) {
       return HttpResponse.of(HttpStatus.SERVICE_UNAVAILABLE);
     }
     return HttpResponse.of(
-        HttpStatus.OK, MediaType.JSON, format.lookupResponse(addresses, ttlMillis));
+        HttpStatus.OK, MediaType.JSON, format.lookupResponse(answer.addresses(), ttlMillis));
   }
 }
