Choose no relay outside the homes in the own region

An instance that is partitioned from all servers forwarded a request to an instance of its own region whether that region was a home or not. The client may be of another region, and an instance does not know which one, so the body went to a region that was neither a home nor the client's. A relay of the own region is therefore chosen only if that region is a home; of the permitted ones those of the own region still come first. Without a permitted one the request is refused as not run at once, as before.

The new test of RelayChoiceTest failed before: for the home "south" the choices were near-1 and near-2 of "north" instead of south-1 and south-2. The expectations for requests without homes stay as they were; none of the earlier ones had a usable instance of the own region together with homes that lack it.

--- a/core/src/main/java/org/bambooarch/core/steering/fleet/RelayChoice.java
+++ b/core/src/main/java/org/bambooarch/core/steering/fleet/RelayChoice.java
@@ -10,8 +10,10 @@
  * Chooses the instance through which an instance that is partitioned from all servers forwards a
  * request.
  *
- * <p>Instances of the own region come first. Rendezvous hashing spreads the requests over all
- * instances that come into question, and keeps the requests of one hash at one of them.
+ * <p>An instance outside the home regions is never chosen, not even one of the own region: the
+ * client may be of another region, which is not known here. Of the permitted instances those of the
+ * own region come first. Rendezvous hashing spreads the requests over all instances that come into
+ * question, and keeps the requests of one hash at one of them.
  */
 public final class RelayChoice {
 
@@ -22,7 +24,7 @@
    *
    * @param heartbeats newest heartbeat of each other instance that is live
    * @param region region of the partitioned instance
-   * @param homeRegions the only regions that may serve the request
+   * @param homeRegions the only regions that may serve or forward the request
    * @param hash hash of the request
    */
   public static Optional<InstanceIdentity> choose(
@@ -32,15 +34,11 @@
             .filter(Heartbeat::takesCallers)
             .filter(heartbeat -> !heartbeat.partitionedFromServers())
             .map(Heartbeat::sender)
+            .filter(instance -> homeRegions.permits(instance.region()))
             .toList();
     List<InstanceIdentity> near =
         usable.stream().filter(instance -> instance.region().equals(region)).toList();
-    if (!near.isEmpty()) {
-      return highestRanked(near, hash);
-    }
-    List<InstanceIdentity> elsewhere =
-        usable.stream().filter(i -> homeRegions.permits(i.region())).toList();
-    return highestRanked(elsewhere, hash);
+    return highestRanked(near.isEmpty() ? usable : near, hash);
   }
 
   private static Optional<InstanceIdentity> highestRanked(
--- a/core/src/test/java/org/bambooarch/core/steering/fleet/RelayChoiceTest.java
+++ b/core/src/test/java/org/bambooarch/core/steering/fleet/RelayChoiceTest.java
@@ -70,4 +70,29 @@
     assertThat(chosen(Set.of("north", "west"))).containsExactly("west-1");
     assertThat(chosen(Set.of("north"))).isEmpty();
   }
+
+  // Issue 53 (HOME): an instance took a relay of its own region for a client of another region, so
+  // that the body went to a region that was neither a home nor the client's.
+  @Test
+  void should_choose_no_instance_outside_the_homes_when_the_own_region_has_usable_ones() {
+    add("near-1", "north", true, false);
+    add("near-2", "north", true, false);
+    add("south-1", "south", true, false);
+    add("south-2", "south", true, false);
+    add("west-1", "west", true, false);
+
+    assertThat(chosen(Set.of("south"))).containsExactlyInAnyOrder("south-1", "south-2");
+    assertThat(chosen(Set.of("east"))).isEmpty();
+    assertThat(RelayChoice.choose(heartbeats, "north", new HomeRegions.Only(Set.of()), 7))
+        .isEmpty();
+  }
+
+  @Test
+  void should_choose_an_instance_of_the_own_region_first_when_it_is_a_home() {
+    add("near-1", "north", true, false);
+    add("near-2", "north", true, false);
+    add("west-1", "west", true, false);
+
+    assertThat(chosen(Set.of("north", "west"))).containsExactlyInAnyOrder("near-1", "near-2");
+  }
 }
--- a/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
@@ -522,7 +522,7 @@
    * Returns an instance through which requests can be forwarded while this one is partitioned from
    * all servers; empty if there is none.
    *
-   * @param homeRegions the only regions that may serve the request
+   * @param homeRegions the only regions that may serve or forward the request
    * @param hash hash of the request, by which one of several instances is chosen
    */
   @Override
--- a/gateway/src/main/java/org/bambooarch/gateway/control/RelaySelector.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/RelaySelector.java
@@ -13,7 +13,7 @@
   /**
    * Returns an instance through which a request can be forwarded meanwhile; empty if there is none.
    *
-   * @param homeRegions the only regions that may serve the request
+   * @param homeRegions the only regions that may serve or forward the request
    * @param hash hash of the request, by which one of several instances is chosen
    */
   Optional<InstanceIdentity> relayInstance(HomeRegions homeRegions, long hash);
