Choose servers and relays by the homes in force at each choice

The homes of a request were those of the version that admitted it, for its whole life: a body that came slowly, and each retry, went to a server of the earlier home also after a newer version had moved the homes.

SteeringConfig.homeRegionsOf gives the homes of a request by the route and the customer of the same names, or by those of its admission where the version has them no longer; ProxyExchange asks the configuration in force at each choice of a server or relay. The newest homes bind alone. Bound by both versions, a request whose homes have moved would have no region left and be refused, although the new home may serve it at once; and a server of the earlier home is no home any more, whatever version admitted the request. Versions only rise, so the one in force is never older than that of the admission.

HomesAtEachSendTest failed in all three cases before: the request whose body came slowly reached 10.0.0.1 of the earlier home; the retry found no server; with another server in the earlier home, the retry reached that one.

--- a/core/src/main/java/org/bambooarch/core/steering/config/SteeringConfig.java
+++ b/core/src/main/java/org/bambooarch/core/steering/config/SteeringConfig.java
@@ -20,7 +20,9 @@
   private final long version;
   private final CallerLimits callerLimits;
   private final Map<String, List<ServiceRoute>> routesByHost = new HashMap<>();
+  private final Map<String, ServiceRoute> routesByName = new HashMap<>();
   private final Map<String, ServicePolicy> services = new HashMap<>();
+  private final Map<String, CustomerPolicy> customersByName = new HashMap<>();
   private final Map<String, CustomerPolicy> customersByKeyDigest = new HashMap<>();
   private final List<CustomerPolicy> customers;
 
@@ -44,12 +46,14 @@
     this.customers = List.copyOf(customers);
     for (ServiceRoute route : routes) {
       routesByHost.computeIfAbsent(route.host(), host -> new ArrayList<>()).add(route);
+      routesByName.put(route.name(), route);
     }
     Comparator<ServiceRoute> longestFirst =
         Comparator.comparingInt((ServiceRoute route) -> route.pathPrefix().length()).reversed();
     routesByHost.values().forEach(ofHost -> ofHost.sort(longestFirst));
     services.forEach(service -> this.services.put(service.name(), service));
     for (CustomerPolicy customer : customers) {
+      customersByName.put(customer.name(), customer);
       customer.keyDigests().forEach(digest -> customersByKeyDigest.put(digest, customer));
     }
   }
@@ -100,6 +104,21 @@
     return Optional.empty();
   }
 
+  /**
+   * Returns the regions that this version permits for a request that it or an earlier version
+   * admitted. A route or customer that this version lacks counts as it was then.
+   *
+   * @param route route of the request, as of its admission
+   * @param customer customer that has the request's key, as of its admission
+   */
+  public HomeRegions homeRegionsOf(ServiceRoute route, Optional<CustomerPolicy> customer) {
+    HomeRegions ofRoute = routesByName.getOrDefault(route.name(), route).homeRegions();
+    return customer
+        .map(admitted -> customersByName.getOrDefault(admitted.name(), admitted))
+        .map(current -> ofRoute.and(current.homeRegions()))
+        .orElse(ofRoute);
+  }
+
   private static String hostOf(String authority) {
     int colon = authority.lastIndexOf(':');
     boolean hasPort = colon > authority.lastIndexOf(']');
--- a/gateway/src/main/java/org/bambooarch/gateway/request/ProxyExchange.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/ProxyExchange.java
@@ -60,7 +60,6 @@
   private final SteeringConfig admittedBy;
   private final String service;
   private final RetryDecider retryDecider;
-  private final HomeRegions homeRegions;
   private final ClientRequestBody body;
   private final RequestLogger log;
   private final RequestTime time;
@@ -95,7 +94,6 @@
     this.newestOnConnection = newestOnConnection;
     this.service = state.roundRobin().next(route);
     this.retryDecider = new RetryDecider(route, service, state.retries());
-    this.homeRegions = homeRegionsOf(route, customer);
     this.admittedBy = admittedBy;
     this.body = new ClientRequestBody(this, admittedBy.callerLimits().maxBodyBytes());
     this.log = new RequestLogger(context, clientHeaders, route, service, customer);
@@ -107,12 +105,6 @@
         context.loop().schedule(this::onDeadline, remainingNanos(), TimeUnit.NANOSECONDS);
   }
 
-  private static HomeRegions homeRegionsOf(ServiceRoute route, Optional<CustomerPolicy> customer) {
-    return customer
-        .map(ofCustomer -> route.homeRegions().and(ofCustomer.homeRegions()))
-        .orElse(route.homeRegions());
-  }
-
   /** Returns the subscriber that must receive the body of the client's request. */
   ClientRequestBody body() {
     return body;
@@ -248,7 +240,15 @@
   private Optional<InstanceIdentity> chooseRelay() {
     long hash =
         Hashes.combine(Hashes.of(clientHeaders.requestId()), retryDecider.triedServers().size());
-    return context.relaySelector().relayInstance(homeRegions, hash);
+    return context.relaySelector().relayInstance(homeRegions(), hash);
+  }
+
+  /**
+   * Returns the only regions that may run the request by the configuration in force now. Earlier
+   * versions do not bind it: a request can then be served in a new home at once.
+   */
+  private HomeRegions homeRegions() {
+    return state.config().orElse(admittedBy).homeRegionsOf(route, customer);
   }
 
   /** Refuses the request, for which there is no server now, as not run unless it may have run. */
@@ -273,7 +273,7 @@
         priority,
         Math.max(0, route.targetLatencyMillis() * NANOS_PER_MILLI - elapsedNanos()),
         remainingNanos(),
-        homeRegions,
+        homeRegions(),
         retryDecider.triedServers());
   }
 
--- a/gateway/src/test/java/org/bambooarch/gateway/bodypath/BodyPathWorld.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/bodypath/BodyPathWorld.java
@@ -80,6 +80,7 @@
 
   private static final int SERVERS = 3;
   private static final String SERVICE = "shop";
+  private static final long GRACE_MILLIS = 6_000;
   private static final long TICK_MILLIS = ControlState.TICK_MILLIS;
   private static final String RELAY_ADDRESS = "10.0.1.1";
   private static final AsyncLineWriter NO_LINES =
@@ -89,7 +90,7 @@
   private final MockTicker ticker = Ticker.newMockTicker();
   private final ManualIoEventLoop loop =
       new ManualIoEventLoop(null, Thread.currentThread(), LocalIoHandler.newFactory(), ticker);
-  private final ControlState state = new ControlState(settings(), clock);
+  private final ControlState state;
   private final GatewayMetrics metrics = new GatewayMetrics();
   private final List<SimulatedLink> links = new ArrayList<>();
   private final Set<ServerState> knownServers = Collections.newSetFromMap(new IdentityHashMap<>());
@@ -106,8 +107,15 @@
   private boolean partitioned;
   private long proxiedRequests;
 
+  /** Creates a world of one region, whose servers may serve all requests. */
   BodyPathWorld(Random random) {
+    this(random, Map.of("north-a", "north"));
+  }
+
+  /** Creates a world of several regions; all servers are in the data centre north-a at first. */
+  BodyPathWorld(Random random, Map<String, String> regionByDataCentre) {
     this.random = random;
+    this.state = new ControlState(settings(regionByDataCentre), clock);
     PlainFormat format = new PlainFormat();
     this.targetClient =
         new TargetHttpClient(
@@ -159,7 +167,7 @@
     }
   }
 
-  private static GatewaySettings settings() {
+  private static GatewaySettings settings(Map<String, String> regionByDataCentre) {
     InetSocketAddress any = new InetSocketAddress(0);
     return new GatewaySettings(
         new InstanceIdentity("entry-1", 1, "north", "north-a", "a:1", "a:2"),
@@ -168,16 +176,16 @@
         any,
         any,
         any,
-        Map.of("north-a", "north"),
+        regionByDataCentre,
         0.2,
         60,
         new QuotaTolerance(5, 0.1, 20),
         2_000,
-        6_000,
+        GRACE_MILLIS,
         new ListAgeBounds(2_000, 2_000, 3_000));
   }
 
-  private static ServiceRoute route(String name, boolean idempotent) {
+  private static ServiceRoute route(String name, boolean idempotent, HomeRegions homes) {
     return new ServiceRoute(
         name,
         "h",
@@ -189,15 +197,27 @@
         0,
         true,
         false,
-        HomeRegions.ALL,
+        homes,
         List.of(new WeightedService(SERVICE, 1)));
   }
 
   private void configure() {
+    configure(1, HomeRegions.ALL);
+    List<ServerEntry> entries = new ArrayList<>();
+    for (int i = 0; i < SERVERS; i++) {
+      entries.add(entry(i));
+    }
+    state.servers().replaceAll(entries, 0, clock.monotonicNanos());
+    state.tick();
+    rememberServers();
+  }
+
+  /** Puts a version of the configuration in force in which all routes have these homes. */
+  void configure(long version, HomeRegions homes) {
     SteeringConfig config =
         new SteeringConfig(
-            1,
-            List.of(route("safe", true), route("order", false)),
+            version,
+            List.of(route("safe", true, homes), route("order", false, homes)),
             List.of(new ServicePolicy(SERVICE, "/", 0, 0, 1)),
             List.of(),
             new CallerLimits(16_384, MAX_BODY_BYTES, 3_000, 15_000));
@@ -205,12 +225,13 @@
         Topic.OPERATOR,
         new ControlUpdate(0, 1, List.of(new ControlChange.ConfigurationChanged(config))));
     state.onListReachable(Topic.OPERATOR, true);
-    List<ServerEntry> entries = new ArrayList<>();
-    for (int i = 0; i < SERVERS; i++) {
-      entries.add(entry(i));
-    }
-    state.servers().replaceAll(entries, 0, clock.monotonicNanos());
-    state.tick();
+  }
+
+  /** Lists a server, known before or not, with this address in this data centre. */
+  void listServer(int index, String dataCentre, String host) {
+    ServerEntry entry =
+        new ServerEntry("server-" + index, SERVICE, host, 80, dataCentre, 8, false, 0, 0);
+    state.servers().put(entry, 0, clock.monotonicNanos());
     rememberServers();
   }
 
@@ -256,9 +277,10 @@
 
     @Override
     public Optional<InstanceIdentity> relayInstance(HomeRegions homeRegions, long hash) {
-      return Optional.of(
+      InstanceIdentity relay =
           new InstanceIdentity(
-              "entry-2", 1, "north", "north-a", RELAY_ADDRESS + ":2", RELAY_ADDRESS + ":1"));
+              "entry-2", 1, "north", "north-a", RELAY_ADDRESS + ":2", RELAY_ADDRESS + ":1");
+      return Optional.of(relay).filter(instance -> homeRegions.permits(instance.region()));
     }
   }
 
@@ -438,8 +460,7 @@
   /** Begins a planned stop, as the instance does. */
   void beginStop() {
     if (!state.isShuttingDown()) {
-      stopSchedule =
-          Optional.of(StopSchedule.from(clock.monotonicNanos(), settings().graceMillis()));
+      stopSchedule = Optional.of(StopSchedule.from(clock.monotonicNanos(), GRACE_MILLIS));
       state.beginShutdown(stopSchedule.get());
     }
   }
--- /dev/null
+++ b/gateway/src/test/java/org/bambooarch/gateway/bodypath/HomesAtEachSendTest.java
@@ -0,0 +1,134 @@
+package org.bambooarch.gateway.bodypath;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import org.bambooarch.core.steering.config.HomeRegions;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Which servers get a request whose homes, or whose server's region, change while it is under way.
+ */
+class HomesAtEachSendTest {
+
+  private static final String NORTH_HOST = "10.0.0.1";
+  private static final String SOUTH_HOST = "10.0.0.3";
+  private static final int BODY_BYTES = 5_000;
+
+  private final BodyPathWorld world =
+      new BodyPathWorld(new Random(1), Map.of("north-a", "north", "south-a", "south"));
+
+  private static HomeRegions only(String... regions) {
+    return new HomeRegions.Only(Set.of(regions));
+  }
+
+  @BeforeEach
+  void listOneServerInEachRegion() {
+    world.removeServer(1);
+    world.listServer(2, "south-a", SOUTH_HOST);
+  }
+
+  @AfterEach
+  void close() {
+    assertThat(world.violations()).isEmpty();
+    world.close();
+  }
+
+  private SimulatedClient start(String id, boolean order, int bodyBytes) {
+    SimulatedClient client = world.start(id, id, order, false, bodyBytes, true, 1_500);
+    if (bodyBytes == 0) {
+      client.sendPart(1);
+    }
+    world.settle();
+    return client;
+  }
+
+  private void connectAll() {
+    List<SimulatedLink> connecting =
+        world.links().stream().filter(link -> link.channel().isConnecting()).toList();
+    connecting.forEach(link -> link.channel().connectNow());
+    world.settle();
+    if (!connecting.isEmpty()) {
+      connectAll();
+    }
+  }
+
+  private List<SimulatedLink> linksWith(String id) {
+    return world.links().stream().filter(link -> link.lastRequestId().equals(id)).toList();
+  }
+
+  private List<String> hostsThatGot(String id) {
+    List<String> hosts = new ArrayList<>();
+    linksWith(id).forEach(link -> hosts.add(((InetSocketAddress) link.remote()).getHostString()));
+    return hosts;
+  }
+
+  private void respond(String id) {
+    linksWith(id).getLast().sendHead(200, PlainFormat.RUN, "length", 0, "");
+    world.settle();
+  }
+
+  // Issue 53 (HOME): the homes were those at the request's arrival, also when its body came later.
+  @Test
+  void should_send_to_the_new_home_when_homes_move_while_the_body_arrives() {
+    world.configure(2, only("north"));
+    SimulatedClient client = start("r1", true, BODY_BYTES);
+    client.sendPart(1_000);
+    world.settle();
+
+    world.configure(3, only("south"));
+    while (!client.hasSentAll()) {
+      client.sendPart(BODY_BYTES);
+      world.settle();
+    }
+    connectAll();
+    respond("r1");
+
+    assertThat(hostsThatGot("r1")).containsExactly(SOUTH_HOST);
+    assertThat(client.status()).isEqualTo(200);
+  }
+
+  // Issue 53 (HOME): a retry went by the homes at the request's arrival.
+  @Test
+  void should_retry_in_the_new_home_when_homes_move_before_a_server_rejects_the_request() {
+    world.configure(2, only("north"));
+    final SimulatedClient client = start("r1", true, 0);
+    connectAll();
+    assertThat(hostsThatGot("r1")).containsExactly(NORTH_HOST);
+
+    world.configure(3, only("south"));
+    linksWith("r1").getFirst().sendHead(503, PlainFormat.NOT_RUN, "length", 0, "");
+    world.onNotRun("r1");
+    world.settle();
+    connectAll();
+    respond("r1");
+
+    assertThat(hostsThatGot("r1")).containsExactly(NORTH_HOST, SOUTH_HOST);
+    assertThat(client.status()).isEqualTo(200);
+  }
+
+  // Issue 53 (HOME): another server of the earlier home got the retry.
+  @Test
+  void should_refuse_as_not_run_when_homes_move_to_a_region_without_servers_before_a_retry() {
+    world.listServers();
+    world.configure(2, only("north"));
+    final SimulatedClient client = start("r1", true, 0);
+    connectAll();
+
+    world.configure(3, only("west"));
+    linksWith("r1").getFirst().sendHead(503, PlainFormat.NOT_RUN, "length", 0, "");
+    world.onNotRun("r1");
+    world.settle();
+    connectAll();
+
+    assertThat(hostsThatGot("r1")).hasSize(1).doesNotContain(SOUTH_HOST);
+    assertThat(client.status()).isEqualTo(503);
+  }
+}
