Choose again when the homes change while a connection opens

Between the choice of a server and the opening of a connection to it, which may take 0.8 s, a newer version may move the homes, or the server may be listed in another region; the request was written to it nevertheless, and likewise to a relay. ProxyExchange now checks the chosen server and the relay against the homes in force when the connection is open. Outside them nothing is written and another server is chosen, as after a connection that could not be opened; the request is refused as not run only if none is left.

Three new cases of HomesAtEachSendTest failed before: the request reached 10.0.0.1 of the earlier home, 10.0.0.3 whose entry had left the home, and the relay whose region was no home any more. BodyPathRandomTest holds (11 tests).

--- a/gateway/src/main/java/org/bambooarch/gateway/request/ProxyExchange.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/ProxyExchange.java
@@ -69,6 +69,7 @@
   private long requestHash;
   private TargetRequestHandle requestHandle;
   private ServerState server;
+  private Optional<InstanceIdentity> relay = Optional.empty();
   private ServerAttempt attempt;
   private boolean bodyStreamed;
   private boolean bodyUsedUp;
@@ -127,13 +128,26 @@
 
   @Override
   public boolean mayRun() {
-    return mayRunOnServers() && maySendBeforeStop();
+    return mayRunOnServers() && maySendBeforeStop() && !isChosenOutsideHomes();
   }
 
   private boolean mayRunOnServers() {
     return state.crashes().maySend(requestHash, state.clock().monotonicNanos());
   }
 
+  /**
+   * Returns whether the homes, or the region of the chosen server, have changed since the choice so
+   * that the request must not go there.
+   */
+  private boolean isChosenOutsideHomes() {
+    if (attempt == null) {
+      return false;
+    }
+    HomeRegions homes = homeRegions();
+    return !homes.permits(server.region())
+        || relay.filter(instance -> !homes.permits(instance.region())).isPresent();
+  }
+
   private boolean maySendBeforeStop() {
     if (state.stopSchedule().isEmpty() || retryDecider.mayHaveRun()) {
       return true;
@@ -153,13 +167,21 @@
     }
     cancelServerRequest();
     switch (refusal) {
-      case FORBIDDEN -> refuseForbidden();
+      case FORBIDDEN -> chooseAgainOrRefuse();
       case TOO_LATE -> refuseLate();
       // ENDED
       default -> {}
     }
   }
 
+  private void chooseAgainOrRefuse() {
+    if (isChosenOutsideHomes()) {
+      onAttemptFailed(AttemptResult.NOT_SENT, "outside-homes");
+    } else {
+      refuseForbidden();
+    }
+  }
+
   private void refuseForbidden() {
     if (mayRunOnServers()) {
       refuse(RequestOutcome.STOPPING, 503, ProxyService.STOPPING_RETRY_MILLIS);
@@ -218,7 +240,7 @@
   private void chooseServerAndSend() {
     timeline.onDecided(state.clock().monotonicNanos());
     boolean partitioned = context.relaySelector().isPartitionedFromServers();
-    Optional<InstanceIdentity> relay = partitioned ? chooseRelay() : Optional.empty();
+    relay = partitioned ? chooseRelay() : Optional.empty();
     log.onChoseRelay(relay);
     if (partitioned && relay.isEmpty()) {
       refuseWithoutServer(RequestOutcome.PARTITIONED, DEFAULT_RETRY_AFTER_MILLIS);
@@ -228,7 +250,7 @@
     Placement placement =
         state.chooser().choose(query, servicePolicy(), state.clock().monotonicNanos());
     switch (placement) {
-      case Placement.Chosen(ServerState chosen, int load) -> send(query, chosen, load, relay);
+      case Placement.Chosen(ServerState chosen, int load) -> send(query, chosen, load);
       case Placement.NoRoom(long retryAfterMillis, NoRoomDetails details) -> {
         log.onNoRoom(details);
         refuseWithoutServer(RequestOutcome.NO_ROOM, retryAfterMillis);
@@ -284,8 +306,7 @@
         .orElseGet(() -> new ServicePolicy(service, "/", 0, 0, 1));
   }
 
-  private void send(
-      PlacementQuery query, ServerState chosen, int loadBefore, Optional<InstanceIdentity> relay) {
+  private void send(PlacementQuery query, ServerState chosen, int loadBefore) {
     server = chosen;
     retryDecider.onChosen(chosen.entry().id());
     chosen.onSent();
@@ -309,7 +330,7 @@
         new ServerAttempt(this, context, writer, query, chosen, loadBefore);
     attempt = newAttempt;
     log.onAttempt(newAttempt.trace());
-    TargetRequestHandle newHandle = sendAttempt(newAttempt, request, relay);
+    TargetRequestHandle newHandle = sendAttempt(newAttempt, request);
     // The attempt may have failed already.
     if (attempt == newAttempt) {
       requestHandle = newHandle;
@@ -317,8 +338,7 @@
     }
   }
 
-  private TargetRequestHandle sendAttempt(
-      ServerAttempt newAttempt, TargetRequest request, Optional<InstanceIdentity> relay) {
+  private TargetRequestHandle sendAttempt(ServerAttempt newAttempt, TargetRequest request) {
     if (relay.isEmpty()) {
       return context.targetClient().send(newAttempt.server(), request, gate, newAttempt);
     }
--- a/gateway/src/test/java/org/bambooarch/gateway/bodypath/BodyPathWorld.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/bodypath/BodyPathWorld.java
@@ -105,6 +105,7 @@
   private Optional<StopSchedule> stopSchedule = Optional.empty();
   private boolean refusedUnsent;
   private boolean partitioned;
+  private boolean connectsLater;
   private long proxiedRequests;
 
   /** Creates a world of one region, whose servers may serve all requests. */
@@ -247,7 +248,7 @@
   private Channel newLink() {
     SimulatedLink link =
         new SimulatedLink(violations::add, id -> runs.merge(id, 1, Integer::sum), arrivedBytes);
-    link.connectAtOnce(random.nextBoolean());
+    link.connectAtOnce(random.nextBoolean() && !connectsLater);
     links.add(link);
     return link.channel();
   }
@@ -418,6 +419,11 @@
             }));
   }
 
+  /** Lets new connections wait from now on, instead of some of them. */
+  void connectLater() {
+    connectsLater = true;
+  }
+
   void partition(boolean newPartitioned) {
     partitioned = newPartitioned;
   }
--- a/gateway/src/test/java/org/bambooarch/gateway/bodypath/HomesAtEachSendTest.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/bodypath/HomesAtEachSendTest.java
@@ -131,4 +131,59 @@
     assertThat(hostsThatGot("r1")).hasSize(1).doesNotContain(SOUTH_HOST);
     assertThat(client.status()).isEqualTo(503);
   }
+
+  /** Starts a request and lets its first connection wait until {@link #connectAll}. */
+  private SimulatedClient startWhileConnectionsWait(String id) {
+    world.connectLater();
+    SimulatedClient client = start(id, true, 0);
+    assertThat(hostsThatGot(id)).isEmpty();
+    assertThat(world.links()).anyMatch(link -> link.channel().isConnecting());
+    return client;
+  }
+
+  // Issue 53 (HOME): a request was written to a server outside the homes if they had moved while
+  // the connection was opened.
+  @Test
+  void should_send_to_the_new_home_when_homes_move_while_the_connection_opens() {
+    world.configure(2, only("north"));
+    SimulatedClient client = startWhileConnectionsWait("r1");
+
+    world.configure(3, only("south"));
+    connectAll();
+    respond("r1");
+
+    assertThat(hostsThatGot("r1")).containsExactly(SOUTH_HOST);
+    assertThat(client.status()).isEqualTo(200);
+    assertThat(world.largestServerCount()).isZero();
+  }
+
+  // Issue 53 (HOME): the same for a server that was listed in another region meanwhile.
+  @Test
+  void should_send_to_a_server_at_home_when_the_chosen_one_leaves_it_while_the_connection_opens() {
+    world.configure(2, only("south"));
+    SimulatedClient client = startWhileConnectionsWait("r1");
+
+    world.listServer(2, "north-a", SOUTH_HOST);
+    world.listServer(0, "south-a", NORTH_HOST);
+    connectAll();
+    respond("r1");
+
+    assertThat(hostsThatGot("r1")).containsExactly(NORTH_HOST);
+    assertThat(client.status()).isEqualTo(200);
+  }
+
+  // Issue 53 (HOME): the same for the instance through which a request is forwarded.
+  @Test
+  void should_refuse_as_not_run_when_the_relays_region_is_no_home_any_more_at_the_send() {
+    world.configure(2, only("north", "south"));
+    world.partition(true);
+    SimulatedClient client = startWhileConnectionsWait("r1");
+
+    world.configure(3, only("south"));
+    connectAll();
+
+    assertThat(hostsThatGot("r1")).isEmpty();
+    assertThat(client.status()).isEqualTo(503);
+    assertThat(world.largestServerCount()).isZero();
+  }
 }
