Call a server at the address of its newest entry

The connections of a server were kept by its id and opened to the address that its entry named at the first request. A server that starts again under its id at another address, in another region for instance, was chosen by the region of its new entry and called at the old address for as long as the id stayed listed: at best nothing answers there, at worst another server does, in a region outside the homes, and answers 421. A new address now gets connections of its own, and the idle ones to the old address are closed.

HomesAtEachSendTest failed before: the second request reached 10.0.0.3 instead of 10.0.0.9, where the entry was by then.

--- a/gateway/src/main/java/org/bambooarch/gateway/target/TargetHttpClient.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/target/TargetHttpClient.java
@@ -13,7 +13,8 @@
 import org.bambooarch.gateway.spi.RequestFormat;
 
 /**
- * Sends requests to servers over pooled connections, with one pool for each server.
+ * Sends requests to servers over pooled connections, with one pool for each server, at the address
+ * that its newest entry names.
  *
  * <p>Used on the event loop only.
  */
@@ -34,7 +35,7 @@
   private final Clock clock;
   private final ConnectionObserver observer;
   private final SkippedResponseListener skippedResponses;
-  private final Map<String, TargetConnectionPool> pools = new HashMap<>();
+  private final Map<String, ServerPool> pools = new HashMap<>();
 
   /** Kept for as long as the process runs: instances are few, and peers close idle connections. */
   private final Map<InetSocketAddress, TargetConnectionPool> relayPools = new HashMap<>();
@@ -93,15 +94,32 @@
   }
 
   private TargetConnectionPool pool(ServerState server) {
-    return pools.computeIfAbsent(server.entry().id(), id -> newPool(server));
+    ServerEntry entry = server.entry();
+    ServerPool known = pools.get(entry.id());
+    if (known != null && known.hasAddressOf(entry)) {
+      return known.connections();
+    }
+    if (known != null) {
+      known.connections().close();
+    }
+    TargetConnectionPool connections = newPool(entry);
+    pools.put(entry.id(), new ServerPool(entry.host(), entry.port(), connections));
+    return connections;
+  }
+
+  /** The connections to the address that a server had when the first of them was opened. */
+  private record ServerPool(String host, int port, TargetConnectionPool connections) {
+
+    boolean hasAddressOf(ServerEntry entry) {
+      return port == entry.port() && host.equals(entry.host());
+    }
   }
 
   private void onConnected(ServerState server) {
     server.onConnected(COLD_START_MILLIS, clock.monotonicNanos());
   }
 
-  private TargetConnectionPool newPool(ServerState server) {
-    ServerEntry entry = server.entry();
+  private TargetConnectionPool newPool(ServerEntry entry) {
     return newPool(
         new InetSocketAddress(entry.host(), entry.port()),
         new ServerObserver(entry, observer, skippedResponses));
@@ -180,11 +198,11 @@
 
   /** Closes the idle connections to servers that are not in the given table any more. */
   public void retainOnly(ServerTable servers) {
-    Iterator<Map.Entry<String, TargetConnectionPool>> iterator = pools.entrySet().iterator();
+    Iterator<Map.Entry<String, ServerPool>> iterator = pools.entrySet().iterator();
     while (iterator.hasNext()) {
-      Map.Entry<String, TargetConnectionPool> pool = iterator.next();
+      Map.Entry<String, ServerPool> pool = iterator.next();
       if (servers.find(pool.getKey()).isEmpty()) {
-        pool.getValue().close();
+        pool.getValue().connections().close();
         iterator.remove();
       }
     }
@@ -192,12 +210,12 @@
 
   /** Closes all idle connections; requests in progress go on, and new ones may be sent. */
   public void closeIdle() {
-    pools.values().forEach(TargetConnectionPool::close);
+    pools.values().forEach(pool -> pool.connections().close());
   }
 
   /** Closes all idle connections; requests in progress go on. */
   public void close() {
-    pools.values().forEach(TargetConnectionPool::close);
+    closeIdle();
     pools.clear();
     relayPools.values().forEach(TargetConnectionPool::close);
     relayPools.clear();
--- a/gateway/src/test/java/org/bambooarch/gateway/bodypath/HomesAtEachSendTest.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/bodypath/HomesAtEachSendTest.java
@@ -3,7 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -65,9 +64,11 @@
   }
 
   private List<String> hostsThatGot(String id) {
-    List<String> hosts = new ArrayList<>();
-    linksWith(id).forEach(link -> hosts.add(((InetSocketAddress) link.remote()).getHostString()));
-    return hosts;
+    return linksWith(id).stream().map(HomesAtEachSendTest::hostOf).toList();
+  }
+
+  private static String hostOf(SimulatedLink link) {
+    return ((InetSocketAddress) link.remote()).getHostString();
   }
 
   private void respond(String id) {
@@ -186,4 +187,27 @@
     assertThat(client.status()).isEqualTo(503);
     assertThat(world.largestServerCount()).isZero();
   }
+
+  // Issue 53 (HOME): a server that started again under its id in another region was called at its
+  // earlier address, where a server outside the homes may be by then.
+  @Test
+  void should_call_a_server_at_its_new_address_when_it_was_listed_anew_under_its_id() {
+    world.removeServer(0);
+    start("r1", true, 0);
+    connectAll();
+    respond("r1");
+    assertThat(hostsThatGot("r1")).containsExactly(SOUTH_HOST);
+
+    world.configure(2, only("north"));
+    world.listServer(2, "north-a", "10.0.0.9");
+    SimulatedClient client = start("r2", true, 0);
+    connectAll();
+    respond("r2");
+
+    assertThat(hostsThatGot("r2")).containsExactly("10.0.0.9");
+    assertThat(client.status()).isEqualTo(200);
+    assertThat(world.links())
+        .filteredOn(link -> hostOf(link).equals(SOUTH_HOST))
+        .noneMatch(link -> link.channel().isOpen());
+  }
 }
