Bind the homes of a customer whose key is shown on an open route

On a route that is open to all callers the customer that has the shown key was forgotten, and its homes with it: the request could run in any region of the route. The rule binds the homes of the route and of the tenant of a request, and a caller may show its key where none is required.

The homes of the customer that has the key now bind on every route. Nothing else follows from the key there: the request is not charged, has the route's priority and reaches the server without a customer's name, as before. An unknown key on such a route binds nothing.

--- a/gateway/src/main/java/org/bambooarch/gateway/request/ProxyExchange.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/ProxyExchange.java
@@ -55,6 +55,7 @@
   private final ClientRequestHeaders clientHeaders;
   private final ServiceRoute route;
   private final Optional<CustomerPolicy> customer;
+  private final Optional<CustomerPolicy> keyHolder;
   private final HttpResponseWriter writer;
   private final BooleanSupplier newestOnConnection;
   private final SteeringConfig admittedBy;
@@ -79,23 +80,22 @@
       GatewayContext context,
       RequestHeaders headers,
       ClientRequestHeaders clientHeaders,
-      ServiceRoute route,
-      Optional<CustomerPolicy> customer,
+      Admission admission,
       HttpResponseWriter writer,
       BooleanSupplier newestOnConnection,
-      long unreadNanos,
-      SteeringConfig admittedBy) {
+      long unreadNanos) {
     this.context = context;
     this.state = context.state();
     this.headers = headers;
     this.clientHeaders = clientHeaders;
-    this.route = route;
-    this.customer = customer;
+    this.route = admission.route();
+    this.customer = admission.customer();
+    this.keyHolder = admission.keyHolder();
+    this.admittedBy = admission.config();
     this.writer = writer;
     this.newestOnConnection = newestOnConnection;
     this.service = state.roundRobin().next(route);
     this.retryDecider = new RetryDecider(route, service, state.retries());
-    this.admittedBy = admittedBy;
     this.body = new ClientRequestBody(this, admittedBy.callerLimits().maxBodyBytes());
     this.log = new RequestLogger(context, clientHeaders, route, service, customer);
     long readNanos = state.clock().monotonicNanos();
@@ -270,7 +270,7 @@
    * versions do not bind it: a request can then be served in a new home at once.
    */
   private HomeRegions homeRegions() {
-    return state.config().orElse(admittedBy).homeRegionsOf(route, customer);
+    return state.config().orElse(admittedBy).homeRegionsOf(route, keyHolder);
   }
 
   /** Refuses the request, for which there is no server now, as not run unless it may have run. */
--- a/gateway/src/main/java/org/bambooarch/gateway/request/ProxyService.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/ProxyService.java
@@ -153,8 +153,8 @@
       }
     }
     Optional<CustomerPolicy> chargedCustomer = requiresKey ? customer : Optional.empty();
-    return startExchange(
-        armeriaContext, request, clientHeaders, route.get(), chargedCustomer, unreadNanos, config);
+    Admission admission = new Admission(config, route.get(), chargedCustomer, customer);
+    return startExchange(armeriaContext, request, clientHeaders, admission, unreadNanos);
   }
 
   private long unreadNanos(ServiceRequestContext armeriaContext, RequestHeaders headers) {
@@ -168,10 +168,8 @@
       ServiceRequestContext armeriaContext,
       HttpRequest request,
       ClientRequestHeaders clientHeaders,
-      ServiceRoute route,
-      Optional<CustomerPolicy> customer,
-      long unreadNanos,
-      SteeringConfig config) {
+      Admission admission,
+      long unreadNanos) {
     HttpResponseWriter writer = HttpResponse.streaming();
     Channel channel = channelOf(armeriaContext);
     ClientConnection connection = ClientConnection.of(channel);
@@ -181,12 +179,10 @@
             context,
             request.headers(),
             clientHeaders,
-            route,
-            customer,
+            admission,
             writer,
             () -> connection.isNewest(number),
-            unreadNanos,
-            config);
+            unreadNanos);
     exchanges.add(exchange);
     // Armeria reports that the client has disconnected a second later than the connection does.
     ChannelFutureListener onClosed = closed -> exchange.onClientDisconnected();
--- a/gateway/src/test/java/org/bambooarch/gateway/bodypath/BodyPathWorld.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/bodypath/BodyPathWorld.java
@@ -36,6 +36,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.bambooarch.core.steering.config.CallerLimits;
+import org.bambooarch.core.steering.config.CustomerPolicy;
 import org.bambooarch.core.steering.config.HomeRegions;
 import org.bambooarch.core.steering.config.ServicePolicy;
 import org.bambooarch.core.steering.config.ServiceRoute;
@@ -106,6 +107,7 @@
   private boolean refusedUnsent;
   private boolean partitioned;
   private boolean connectsLater;
+  private Optional<String> apiKey = Optional.empty();
   private long proxiedRequests;
 
   /** Creates a world of one region, whose servers may serve all requests. */
@@ -215,12 +217,17 @@
 
   /** Puts a version of the configuration in force in which all routes have these homes. */
   void configure(long version, HomeRegions homes) {
+    configure(version, homes, List.of());
+  }
+
+  /** Puts a version in force in which all routes are open to all and have these homes. */
+  void configure(long version, HomeRegions homes, List<CustomerPolicy> customers) {
     SteeringConfig config =
         new SteeringConfig(
             version,
             List.of(route("safe", true, homes), route("order", false, homes)),
             List.of(new ServicePolicy(SERVICE, "/", 0, 0, 1)),
-            List.of(),
+            customers,
             new CallerLimits(16_384, MAX_BODY_BYTES, 3_000, 15_000));
     state.replaceList(
         Topic.OPERATOR,
@@ -378,6 +385,7 @@
     if (framed && bodyBytes > 0) {
       headers.contentLength(bodyBytes);
     }
+    apiKey.ifPresent(key -> headers.set(PlainFormat.KEY, key));
     if (relayed) {
       headers.set(RelayHeaders.SERVER, "server-" + random.nextInt(SERVERS));
     } else {
@@ -419,6 +427,11 @@
             }));
   }
 
+  /** Lets clients show a key from now on. */
+  void showKey(String newApiKey) {
+    apiKey = Optional.of(newApiKey);
+  }
+
   /** Lets new connections wait from now on, instead of some of them. */
   void connectLater() {
     connectsLater = true;
--- a/gateway/src/test/java/org/bambooarch/gateway/bodypath/HomesAtEachSendTest.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/bodypath/HomesAtEachSendTest.java
@@ -7,6 +7,8 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import org.bambooarch.core.key.KeyDigest;
+import org.bambooarch.core.steering.config.CustomerPolicy;
 import org.bambooarch.core.steering.config.HomeRegions;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -210,4 +212,37 @@
         .filteredOn(link -> hostOf(link).equals(SOUTH_HOST))
         .noneMatch(link -> link.channel().isOpen());
   }
+
+  private static CustomerPolicy customer(HomeRegions homes) {
+    // Any charge would exceed this rate.
+    return new CustomerPolicy("kerala", Set.of(KeyDigest.of("key")), 0, 1e-9, 0, homes);
+  }
+
+  // Issue 53 (HOME): the homes of a customer did not bind on a route that needs no key.
+  @Test
+  void should_send_to_the_customers_home_uncharged_when_a_route_is_open_and_a_key_is_shown() {
+    world.configure(2, HomeRegions.ALL, List.of(customer(only("south"))));
+    world.showKey("key");
+    final SimulatedClient client = start("r1", true, 0);
+    connectAll();
+    respond("r1");
+    assertThat(hostsThatGot("r1")).containsExactly(SOUTH_HOST);
+    assertThat(client.status()).isEqualTo(200);
+
+    world.configure(3, HomeRegions.ALL, List.of(customer(only("north"))));
+    start("r2", true, 0);
+    connectAll();
+    assertThat(hostsThatGot("r2")).containsExactly(NORTH_HOST);
+    respond("r2");
+  }
+
+  @Test
+  void should_send_to_the_own_region_when_a_route_is_open_and_the_key_is_unknown() {
+    world.configure(2, HomeRegions.ALL, List.of(customer(only("south"))));
+    world.showKey("other key");
+    start("r1", true, 0);
+    connectAll();
+    assertThat(hostsThatGot("r1")).containsExactly(NORTH_HOST);
+    respond("r1");
+  }
 }
--- a/gateway/src/test/java/org/bambooarch/gateway/bodypath/PlainFormat.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/bodypath/PlainFormat.java
@@ -31,6 +31,9 @@
   /** How long the client waits, in milliseconds. */
   static final String TIMEOUT = "timeout";
 
+  /** API key of a client, if it shows one. */
+  static final String KEY = "key";
+
   /** Marks a genuine response, and says what the server did: run, not-run or misdirected. */
   static final String SAYS = "says";
 
@@ -43,7 +46,7 @@
     return new ClientRequestHeaders(
         headers.get(ID, ""),
         OptionalLong.of(headers.getLong(TIMEOUT, 1_000)),
-        Optional.empty(),
+        Optional.ofNullable(headers.get(KEY)),
         Optional.empty());
   }
 
