--- a/gateway/src/main/java/org/bambooarch/gateway/request/ProxyExchange.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/ProxyExchange.java
@@ -55,12 +55,12 @@
   private final ClientRequestHeaders clientHeaders;
   private final ServiceRoute route;
   private final Optional<CustomerPolicy> customer;
+  private final Optional<CustomerPolicy> keyHolder;
   private final HttpResponseWriter writer;
   private final BooleanSupplier newestOnConnection;
   private final SteeringConfig admittedBy;
   private final String service;
   private final RetryDecider retryDecider;
-  private final HomeRegions homeRegions;
   private final ClientRequestBody body;
   private final RequestLogger log;
   private final RequestTime time;
@@ -70,6 +70,7 @@
   private long requestHash;
   private TargetRequestHandle requestHandle;
   private ServerState server;
+  private Optional<InstanceIdentity> relay = Optional.empty();
   private ServerAttempt attempt;
   private boolean bodyStreamed;
   private boolean bodyUsedUp;
@@ -79,28 +80,32 @@
       GatewayContext context,
       RequestHeaders headers,
       ClientRequestHeaders clientHeaders,
-      ServiceRoute route,
-      Optional<CustomerPolicy> customer,
+      Admission admission,
       HttpResponseWriter writer,
       BooleanSupplier newestOnConnection,
-      long unreadNanos,
-      SteeringConfig admittedBy) {
+      long unreadNanos) {
     this.context = context;
     this.state = context.state();
     this.headers = headers;
     this.clientHeaders = clientHeaders;
-    this.route = route;
-    this.customer = customer;
+    this.route = admission.route();
+    this.customer = admission.customer();
+    this.keyHolder = admission.keyHolder();
+    this.admittedBy = admission.config();
     this.writer = writer;
     this.newestOnConnection = newestOnConnection;
     this.service = state.roundRobin().next(route);
     this.retryDecider = new RetryDecider(route, service, state.retries());
-    this.homeRegions = homeRegionsOf(route, customer);
-    this.admittedBy = admittedBy;
     this.body = new ClientRequestBody(this, admittedBy.callerLimits().maxBodyBytes());
     this.log =
         new RequestLogger(
-            context, clientHeaders, route, service, customer, homeRegions, admittedBy.version());
+            context,
+            clientHeaders,
+            route,
+            service,
+            customer,
+            this::homeRegions,
+            admittedBy.version());
     long readNanos = state.clock().monotonicNanos();
     this.time = RequestTime.of(readNanos - unreadNanos, clientHeaders.timeoutMillisOn(route));
     this.timeline = new RequestTimeline(time, readNanos);
@@ -109,12 +114,6 @@
         context.loop().schedule(this::onDeadline, remainingNanos(), TimeUnit.NANOSECONDS);
   }
 
-  private static HomeRegions homeRegionsOf(ServiceRoute route, Optional<CustomerPolicy> customer) {
-    return customer
-        .map(ofCustomer -> route.homeRegions().and(ofCustomer.homeRegions()))
-        .orElse(route.homeRegions());
-  }
-
   /** Returns the subscriber that must receive the body of the client's request. */
   ClientRequestBody body() {
     return body;
@@ -137,13 +136,26 @@
 
   @Override
   public boolean mayRun() {
-    return mayRunOnServers() && maySendBeforeStop();
+    return mayRunOnServers() && maySendBeforeStop() && !isChosenOutsideHomes();
   }
 
   private boolean mayRunOnServers() {
     return state.crashes().maySend(requestHash, state.clock().monotonicNanos());
   }
 
+  /**
+   * Returns whether the homes, or the region of the chosen server, have changed since the choice so
+   * that the request must not go there.
+   */
+  private boolean isChosenOutsideHomes() {
+    if (attempt == null) {
+      return false;
+    }
+    HomeRegions homes = homeRegions();
+    return !homes.permits(server.region())
+        || relay.filter(instance -> !homes.permits(instance.region())).isPresent();
+  }
+
   private boolean maySendBeforeStop() {
     if (state.stopSchedule().isEmpty() || retryDecider.mayHaveRun()) {
       return true;
@@ -163,13 +175,21 @@
     }
     cancelServerRequest();
     switch (refusal) {
-      case FORBIDDEN -> refuseForbidden();
+      case FORBIDDEN -> chooseAgainOrRefuse();
       case TOO_LATE -> refuseLate();
       // ENDED
       default -> {}
     }
   }
 
+  private void chooseAgainOrRefuse() {
+    if (isChosenOutsideHomes()) {
+      onAttemptFailed(AttemptResult.NOT_SENT, "outside-homes");
+    } else {
+      refuseForbidden();
+    }
+  }
+
   private void refuseForbidden() {
     if (mayRunOnServers()) {
       refuse(RequestOutcome.STOPPING, 503, ProxyService.STOPPING_RETRY_MILLIS);
@@ -228,7 +248,7 @@
   private void chooseServerAndSend() {
     timeline.onDecided(state.clock().monotonicNanos());
     boolean partitioned = context.relaySelector().isPartitionedFromServers();
-    Optional<InstanceIdentity> relay = partitioned ? chooseRelay() : Optional.empty();
+    relay = partitioned ? chooseRelay() : Optional.empty();
     log.onChoseRelay(relay);
     if (partitioned && relay.isEmpty()) {
       refuseWithoutServer(RequestOutcome.PARTITIONED, DEFAULT_RETRY_AFTER_MILLIS);
@@ -238,7 +258,7 @@
     Placement placement =
         state.chooser().choose(query, servicePolicy(), state.clock().monotonicNanos());
     switch (placement) {
-      case Placement.Chosen(ServerState chosen, int load) -> send(query, chosen, load, relay);
+      case Placement.Chosen(ServerState chosen, int load) -> send(query, chosen, load);
       case Placement.NoRoom(long retryAfterMillis, NoRoomDetails details) -> {
         log.onNoRoom(details);
         refuseWithoutServer(RequestOutcome.NO_ROOM, retryAfterMillis);
@@ -250,7 +270,15 @@
   private Optional<InstanceIdentity> chooseRelay() {
     long hash =
         Hashes.combine(Hashes.of(clientHeaders.requestId()), retryDecider.triedServers().size());
-    return context.relaySelector().relayInstance(homeRegions, hash);
+    return context.relaySelector().relayInstance(homeRegions(), hash);
+  }
+
+  /**
+   * Returns the only regions that may run the request by the configuration in force now. Earlier
+   * versions do not bind it: a request can then be served in a new home at once.
+   */
+  private HomeRegions homeRegions() {
+    return state.config().orElse(admittedBy).homeRegionsOf(route, keyHolder);
   }
 
   /** Refuses the request, for which there is no server now, as not run unless it may have run. */
@@ -275,7 +303,7 @@
         priority,
         Math.max(0, route.targetLatencyMillis() * NANOS_PER_MILLI - elapsedNanos()),
         remainingNanos(),
-        homeRegions,
+        homeRegions(),
         retryDecider.triedServers());
   }
 
@@ -286,8 +314,7 @@
         .orElseGet(() -> new ServicePolicy(service, "/", 0, 0, 1));
   }
 
-  private void send(
-      PlacementQuery query, ServerState chosen, int loadBefore, Optional<InstanceIdentity> relay) {
+  private void send(PlacementQuery query, ServerState chosen, int loadBefore) {
     server = chosen;
     log.onChosen(chosen, relay);
     retryDecider.onChosen(chosen.entry().id());
@@ -312,7 +339,7 @@
         new ServerAttempt(this, context, writer, query, chosen, loadBefore);
     attempt = newAttempt;
     log.onAttempt(newAttempt.trace());
-    TargetRequestHandle newHandle = sendAttempt(newAttempt, request, relay);
+    TargetRequestHandle newHandle = sendAttempt(newAttempt, request);
     // The attempt may have failed already.
     if (attempt == newAttempt) {
       requestHandle = newHandle;
@@ -320,8 +347,7 @@
     }
   }
 
-  private TargetRequestHandle sendAttempt(
-      ServerAttempt newAttempt, TargetRequest request, Optional<InstanceIdentity> relay) {
+  private TargetRequestHandle sendAttempt(ServerAttempt newAttempt, TargetRequest request) {
     if (relay.isEmpty()) {
       return context.targetClient().send(newAttempt.server(), request, gate, newAttempt);
     }
--- a/gateway/src/main/java/org/bambooarch/gateway/request/RequestLogger.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/RequestLogger.java
@@ -2,6 +2,7 @@
 
 import java.util.Locale;
 import java.util.Optional;
+import java.util.function.Supplier;
 import org.bambooarch.core.steering.RetryDecider;
 import org.bambooarch.core.steering.config.CustomerPolicy;
 import org.bambooarch.core.steering.config.HomeRegions;
@@ -37,7 +38,7 @@
   /**
    * Creates the logger of a request that was sent nowhere.
    *
-   * @param homes the regions that may serve the request
+   * @param homes returns the regions that may serve the request by the configuration in force
    * @param admittedVersion version of the configuration by which the request was admitted
    */
   RequestLogger(
@@ -46,7 +47,7 @@
       ServiceRoute route,
       String service,
       Optional<CustomerPolicy> customer,
-      HomeRegions homes,
+      Supplier<HomeRegions> homes,
       long admittedVersion) {
     this.context = context;
     this.clientHeaders = clientHeaders;
--- a/gateway/src/main/java/org/bambooarch/gateway/request/RequestPlaces.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/RequestPlaces.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.Supplier;
 import org.bambooarch.core.steering.config.HomeRegions;
 import org.bambooarch.core.steering.fleet.InstanceIdentity;
 import org.bambooarch.core.steering.place.ServerState;
@@ -11,7 +12,7 @@
 /** The regions that may serve one request, and those that it was last sent to, for the log. */
 final class RequestPlaces {
 
-  private final HomeRegions homes;
+  private final Supplier<HomeRegions> homes;
   private final String selfRegion;
   private Optional<String> serverRegion = Optional.empty();
   private Optional<String> relayRegion = Optional.empty();
@@ -19,10 +20,10 @@
   /**
    * Creates the places of a request that was sent nowhere.
    *
-   * @param homes the regions that may serve the request
+   * @param homes returns the regions that may serve the request by the configuration in force
    * @param selfRegion region of this instance
    */
-  RequestPlaces(HomeRegions homes, String selfRegion) {
+  RequestPlaces(Supplier<HomeRegions> homes, String selfRegion) {
     this.homes = homes;
     this.selfRegion = selfRegion;
   }
@@ -35,8 +36,9 @@
 
   /** Returns whether the server or the relay of the last attempt is in a region that is no home. */
   boolean areOutsideHomes() {
-    return serverRegion.filter(region -> !homes.permits(region)).isPresent()
-        || relayRegion.filter(region -> !homes.permits(region)).isPresent();
+    HomeRegions permitted = homes.get();
+    return serverRegion.filter(region -> !permitted.permits(region)).isPresent()
+        || relayRegion.filter(region -> !permitted.permits(region)).isPresent();
   }
 
   /**
@@ -51,7 +53,7 @@
   }
 
   private String describeHomes() {
-    return switch (homes) {
+    return switch (homes.get()) {
       case HomeRegions.All all -> "";
       case HomeRegions.Only(Set<String> regions) ->
           " homes=%s self-region=%s"
--- a/gateway/src/test/java/org/bambooarch/gateway/endpoint/LookupLoggerTest.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/endpoint/LookupLoggerTest.java
@@ -70,6 +70,7 @@
         new Heartbeat(
             instance(name, region),
             takesCallers,
+            0,
             partitioned,
             1,
             ListVersions.NONE,
--- a/gateway/src/test/java/org/bambooarch/gateway/request/RequestLoggerTest.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/request/RequestLoggerTest.java
@@ -119,7 +119,7 @@
         route,
         "shop",
         Optional.empty(),
-        homes,
+        () -> homes,
         7);
   }
 
