--- a/core/src/test/java/org/bambooarch/core/steering/fleet/FleetTableTest.java
+++ b/core/src/test/java/org/bambooarch/core/steering/fleet/FleetTableTest.java
@@ -136,4 +136,19 @@
 
     assertThat(heartbeatsSentTo("other", 2 * 3_600_000L, 2 * 3_600_000L + 10_000)).isZero();
   }
+
+  @Test
+  void should_count_the_other_instances_of_a_region_when_some_are_unheard_silent_or_elsewhere() {
+    table.onListed(instance("unheard", 1), 0);
+    table.onListed(new InstanceIdentity("far", 1, "south", "south-a", "far:80", "far:90"), 0);
+    receiveHeartbeat("silent", 1, 0);
+    receiveHeartbeat("live", 1, 1_000);
+
+    assertThat(table.countOthersIn("north", 2_300 * NANOS_PER_MILLI))
+        .isEqualTo(new RegionCounts(3, 1, 1, 1, 0));
+    assertThat(table.countOthersIn("south", 2_300 * NANOS_PER_MILLI))
+        .isEqualTo(new RegionCounts(1, 1, 0, 0, 0));
+    assertThat(table.countOthersIn("west", 2_300 * NANOS_PER_MILLI))
+        .isEqualTo(new RegionCounts(0, 0, 0, 0, 0));
+  }
 }
