Let the relaying instance check a server against the homes it knows

An instance forwarded another instance's request to the server that its own list had under the named id, in whatever region that list placed it, and whatever its configuration said of the homes. An instance that is cut off from all servers may be cut off from the store as well, so its list and its configuration may be the older ones.

The relaying instance now finds the homes by the host, the path and the customer's name, which the request carries anyway, in its own configuration, and answers "not sent" (cause outside-homes) if the server's region is none of them, when it gets the request and again when a new connection is open. The other instance then tries another server. While a heartbeat has told of a newer configuration it checks nothing, since the other instance may have chosen by that one. Its own region is not checked: the body has arrived by then, and refusing would only cost the caller.

A header that names the permitted regions is not used: an older instance passes unknown headers on to the server (it strips only the two that it knows), and it would not see a newer configuration at the relaying instance either. Nothing changes on the wire, so the check holds for requests of older instances too.

RelayThroughInstanceTest (18 tests) holds.

--- a/core/src/main/java/org/bambooarch/core/steering/config/SteeringConfig.java
+++ b/core/src/main/java/org/bambooarch/core/steering/config/SteeringConfig.java
@@ -119,6 +119,23 @@
         .orElse(ofRoute);
   }
 
+  /**
+   * Returns the regions that this version permits for a request that another instance admitted. A
+   * route or customer that this version lacks permits all.
+   *
+   * @param authority host that the request asks for, as in {@link #routeOf}
+   * @param path path without the query
+   * @param customer name of the request's customer, if it has one
+   */
+  public HomeRegions homeRegionsOf(String authority, String path, Optional<String> customer) {
+    HomeRegions ofRoute =
+        routeOf(authority, path).map(ServiceRoute::homeRegions).orElse(HomeRegions.ALL);
+    return customer
+        .flatMap(name -> Optional.ofNullable(customersByName.get(name)))
+        .map(known -> ofRoute.and(known.homeRegions()))
+        .orElse(ofRoute);
+  }
+
   private static String hostOf(String authority) {
     int colon = authority.lastIndexOf(':');
     boolean hasPort = colon > authority.lastIndexOf(']');
--- a/core/src/test/java/org/bambooarch/core/steering/config/RequestHomesTest.java
+++ b/core/src/test/java/org/bambooarch/core/steering/config/RequestHomesTest.java
@@ -84,4 +84,21 @@
     assertThat(newer.homeRegionsOf(route("music", only("west")), admittedCustomer))
         .isEqualTo(only());
   }
+
+  @Test
+  void should_find_the_homes_by_host_path_and_customer_when_another_instance_admitted_a_request() {
+    SteeringConfig config =
+        config(
+            List.of(route("books", only("south", "west"))),
+            List.of(customer("kerala", only("west", "east"))));
+
+    assertThat(config.homeRegionsOf("Shop.example:80", "/books/1", Optional.of("kerala")))
+        .isEqualTo(only("west"));
+    assertThat(config.homeRegionsOf("shop.example", "/books/1", Optional.of("goa")))
+        .isEqualTo(only("south", "west"));
+    assertThat(config.homeRegionsOf("shop.example", "/music/1", Optional.of("kerala")))
+        .isEqualTo(only("west", "east"));
+    assertThat(config.homeRegionsOf("shop.example", "/music/1", Optional.empty()))
+        .isEqualTo(HomeRegions.ALL);
+  }
 }
--- a/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
@@ -340,7 +340,7 @@
    * Returns whether another instance has applied a newer configuration than the one in force here.
    * Versions only rise, so this holds also when that instance is gone.
    */
-  boolean hasMissedConfiguration() {
+  public boolean hasMissedConfiguration() {
     return newestKnownVersion > (config == null ? 0 : config.version());
   }
 
--- a/gateway/src/main/java/org/bambooarch/gateway/relay/RelayExchange.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/relay/RelayExchange.java
@@ -16,6 +16,7 @@
 import org.bambooarch.gateway.request.BufferedResponseRelay;
 import org.bambooarch.gateway.request.ClientRequestBody;
 import org.bambooarch.gateway.request.GatewayContext;
+import org.bambooarch.gateway.request.ProxyService;
 import org.bambooarch.gateway.spi.ClientRequestHeaders;
 import org.bambooarch.gateway.spi.RelayHeaders;
 import org.bambooarch.gateway.spi.ServerResponseHeaders;
@@ -116,14 +117,52 @@
 
   @Override
   public boolean mayRun() {
-    return state.servers().findAvailable(serverId).map(this::maySendBeforeStop).orElse(true);
+    return state
+        .servers()
+        .findAvailable(serverId)
+        .map(known -> isAtHome(known) && maySendBeforeStop(known))
+        .orElse(true);
+  }
+
+  /**
+   * Returns whether the server's region is a home by the list and the configuration in force here.
+   * While another instance is known to have a newer configuration, any region counts as one, since
+   * that may be the instance that chose the server. The region of this instance is not checked: the
+   * body has arrived here already.
+   */
+  private boolean isAtHome(ServerState known) {
+    return state.hasMissedConfiguration()
+        || state
+            .config()
+            .map(config -> config.homeRegionsOf(authority(), path(), customer()))
+            .filter(homes -> !homes.permits(known.region()))
+            .isEmpty();
+  }
+
+  private String authority() {
+    return Optional.ofNullable(headers.authority()).orElse("");
+  }
+
+  private String path() {
+    return ProxyService.pathOf(headers.path());
+  }
+
+  private Optional<String> customer() {
+    return context.requestFormat().relayedCustomer(headers);
   }
 
   @Override
   public void onRefused(SendGate.Refusal refusal) {
-    respond(
-        RelayHeaders.Outcome.NOT_SENT,
-        refusal == SendGate.Refusal.FORBIDDEN ? "stopping" : "too-late");
+    String cause =
+        switch (refusal) {
+          case FORBIDDEN -> isServerAtHome() ? "stopping" : "outside-homes";
+          case TOO_LATE, ENDED -> "too-late";
+        };
+    respond(RelayHeaders.Outcome.NOT_SENT, cause);
+  }
+
+  private boolean isServerAtHome() {
+    return state.servers().findAvailable(serverId).map(this::isAtHome).orElse(true);
   }
 
   private void send() {
--- a/gateway/src/main/java/org/bambooarch/gateway/request/ProxyService.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/ProxyService.java
@@ -300,7 +300,8 @@
     return HttpResponse.of(refusal);
   }
 
-  private static String pathOf(String pathAndQuery) {
+  /** Returns the path without the query. */
+  public static String pathOf(String pathAndQuery) {
     int query = pathAndQuery.indexOf('?');
     return query < 0 ? pathAndQuery : pathAndQuery.substring(0, query);
   }
--- a/gateway/src/main/java/org/bambooarch/gateway/spi/RequestFormat.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/spi/RequestFormat.java
@@ -4,6 +4,7 @@
 import com.linecorp.armeria.common.ResponseHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
+import java.util.Optional;
 
 /**
  * Translates headers of requests and responses between their wire format and the gateway's types.
@@ -30,6 +31,13 @@
    */
   HttpHeaders toServerRequest(RequestHeaders relayed, long timeoutMillis);
 
+  /**
+   * Returns the name of the customer that another instance states for the server; empty if none.
+   *
+   * @param relayed the headers of the request on the relay port
+   */
+  Optional<String> relayedCustomer(RequestHeaders relayed);
+
   /**
    * Returns the status and headers with which a server's response is passed to the instance that
    * relayed the request; they include the control information of the server.
--- a/gateway/src/main/java/org/bambooarch/gateway/warmup/WarmUpFormat.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/warmup/WarmUpFormat.java
@@ -4,6 +4,7 @@
 import com.linecorp.armeria.common.ResponseHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
+import java.util.Optional;
 import org.bambooarch.gateway.spi.ClientRequestHeaders;
 import org.bambooarch.gateway.spi.RequestFormat;
 import org.bambooarch.gateway.spi.ServerRequestHeaders;
@@ -27,6 +28,11 @@
     return format.toServerRequest(relayed, timeoutMillis);
   }
 
+  @Override
+  public Optional<String> relayedCustomer(RequestHeaders relayed) {
+    return format.relayedCustomer(relayed);
+  }
+
   @Override
   public ServerResponseHeaders readServerResponse(HttpResponse head) {
     ServerResponseHeaders headers = format.readServerResponse(head);
--- a/gateway/src/test/java/org/bambooarch/gateway/bodypath/BodyPathWorld.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/bodypath/BodyPathWorld.java
@@ -42,7 +42,9 @@
 import org.bambooarch.core.steering.config.ServiceRoute;
 import org.bambooarch.core.steering.config.SteeringConfig;
 import org.bambooarch.core.steering.config.WeightedService;
+import org.bambooarch.core.steering.fleet.Heartbeat;
 import org.bambooarch.core.steering.fleet.InstanceIdentity;
+import org.bambooarch.core.steering.fleet.ListVersions;
 import org.bambooarch.core.steering.fleet.QuotaTolerance;
 import org.bambooarch.core.steering.place.ServerEntry;
 import org.bambooarch.core.steering.place.ServerState;
@@ -107,7 +109,7 @@
   private boolean refusedUnsent;
   private boolean partitioned;
   private boolean connectsLater;
-  private Optional<String> apiKey = Optional.empty();
+  private final Map<String, String> addedHeaders = new HashMap<>();
   private long proxiedRequests;
 
   /** Creates a world of one region, whose servers may serve all requests. */
@@ -385,7 +387,7 @@
     if (framed && bodyBytes > 0) {
       headers.contentLength(bodyBytes);
     }
-    apiKey.ifPresent(key -> headers.set(PlainFormat.KEY, key));
+    addedHeaders.forEach(headers::set);
     if (relayed) {
       headers.set(RelayHeaders.SERVER, "server-" + random.nextInt(SERVERS));
     } else {
@@ -427,9 +429,25 @@
             }));
   }
 
-  /** Lets clients show a key from now on. */
-  void showKey(String newApiKey) {
-    apiKey = Optional.of(newApiKey);
+  /** Lets the instance hear of another one that has this version of the configuration. */
+  void hearOfConfiguration(long version) {
+    state.onHeartbeat(
+        new Heartbeat(
+            new InstanceIdentity("entry-3", 1, "north", "north-a", "b:1", "b:2"),
+            true,
+            false,
+            version,
+            ListVersions.NONE,
+            Map.of(),
+            Map.of(),
+            Map.of(),
+            Map.of(),
+            List.of()));
+  }
+
+  /** Adds a header to all requests from now on. */
+  void addHeader(String name, String value) {
+    addedHeaders.put(name, value);
   }
 
   /** Lets new connections wait from now on, instead of some of them. */
--- a/gateway/src/test/java/org/bambooarch/gateway/bodypath/HomesAtEachSendTest.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/bodypath/HomesAtEachSendTest.java
@@ -222,7 +222,7 @@
   @Test
   void should_send_to_the_customers_home_uncharged_when_a_route_is_open_and_a_key_is_shown() {
     world.configure(2, HomeRegions.ALL, List.of(customer(only("south"))));
-    world.showKey("key");
+    world.addHeader(PlainFormat.KEY, "key");
     final SimulatedClient client = start("r1", true, 0);
     connectAll();
     respond("r1");
@@ -239,7 +239,7 @@
   @Test
   void should_send_to_the_own_region_when_a_route_is_open_and_the_key_is_unknown() {
     world.configure(2, HomeRegions.ALL, List.of(customer(only("south"))));
-    world.showKey("other key");
+    world.addHeader(PlainFormat.KEY, "other key");
     start("r1", true, 0);
     connectAll();
     assertThat(hostsThatGot("r1")).containsExactly(NORTH_HOST);
--- a/gateway/src/test/java/org/bambooarch/gateway/bodypath/PlainFormat.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/bodypath/PlainFormat.java
@@ -34,6 +34,9 @@
   /** API key of a client, if it shows one. */
   static final String KEY = "key";
 
+  /** Name of the customer of a request that another instance relays. */
+  static final String CUSTOMER = "customer";
+
   /** Marks a genuine response, and says what the server did: run, not-run or misdirected. */
   static final String SAYS = "says";
 
@@ -65,6 +68,11 @@
     return headers;
   }
 
+  @Override
+  public Optional<String> relayedCustomer(RequestHeaders relayed) {
+    return Optional.ofNullable(relayed.get(CUSTOMER));
+  }
+
   @Override
   public ResponseHeaders toRelayedResponse(HttpResponse head) {
     ResponseHeadersBuilder builder = toClientResponse(head).toBuilder();
--- a/gateway/src/test/java/org/bambooarch/gateway/target/ResponseIdFormat.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/target/ResponseIdFormat.java
@@ -46,6 +46,11 @@
     throw new UnsupportedOperationException();
   }
 
+  @Override
+  public Optional<String> relayedCustomer(RequestHeaders relayed) {
+    throw new UnsupportedOperationException();
+  }
+
   @Override
   public ResponseHeaders toRelayedResponse(HttpResponse head) {
     throw new UnsupportedOperationException();
