Name no instance outside the caller's region and the homes of its host

InstanceDirectory knew no homes, and the host of a look-up was dropped when it was read.

A look-up now carries its host. SteeringConfig computes once what all routes of a host with homes permit in common; beyond the caller's region only instances there are named, and otherwise the answer is 503, after which the caller keeps what it has and asks the next instance. Hosts without homes get any region as before. An instance without a configuration knows no homes and names the caller's region only. Instances that are partitioned from all servers stay last, so that a host with homes gets those of the caller's region rather than one abroad.

The host in InstanceDirectoryTest is one without homes; its cases are unchanged.

--- a/core/src/main/java/org/bambooarch/core/steering/config/HomeRegions.java
+++ b/core/src/main/java/org/bambooarch/core/steering/config/HomeRegions.java
@@ -10,6 +10,9 @@
   /** All regions, those that are unknown here included. */
   HomeRegions ALL = new All();
 
+  /** No region at all. */
+  HomeRegions NONE = new Only(Set.of());
+
   /** Returns whether the region may serve the request. */
   boolean permits(String region);
 
--- a/core/src/main/java/org/bambooarch/core/steering/config/SteeringConfig.java
+++ b/core/src/main/java/org/bambooarch/core/steering/config/SteeringConfig.java
@@ -20,6 +20,7 @@
   private final long version;
   private final CallerLimits callerLimits;
   private final Map<String, List<ServiceRoute>> routesByHost = new HashMap<>();
+  private final Map<String, HomeRegions> homeRegionsByHost = new HashMap<>();
   private final Map<String, ServicePolicy> services = new HashMap<>();
   private final Map<String, CustomerPolicy> customersByKeyDigest = new HashMap<>();
   private final List<CustomerPolicy> customers;
@@ -44,6 +45,7 @@
     this.customers = List.copyOf(customers);
     for (ServiceRoute route : routes) {
       routesByHost.computeIfAbsent(route.host(), host -> new ArrayList<>()).add(route);
+      homeRegionsByHost.merge(route.host(), route.homeRegions(), HomeRegions::and);
     }
     Comparator<ServiceRoute> longestFirst =
         Comparator.comparingInt((ServiceRoute route) -> route.pathPrefix().length()).reversed();
@@ -100,6 +102,16 @@
     return Optional.empty();
   }
 
+  /**
+   * Returns the regions that all routes of the host with home regions have in common; all regions
+   * if it has no such route or is not configured. Customers' home regions are not included.
+   *
+   * @param authority host, in upper or lower case, with or without a port
+   */
+  public HomeRegions homeRegionsOfHost(String authority) {
+    return homeRegionsByHost.getOrDefault(hostOf(authority), HomeRegions.ALL);
+  }
+
   private static String hostOf(String authority) {
     int colon = authority.lastIndexOf(':');
     boolean hasPort = colon > authority.lastIndexOf(']');
--- a/core/src/main/java/org/bambooarch/core/steering/fleet/DirectoryScope.java
+++ b/core/src/main/java/org/bambooarch/core/steering/fleet/DirectoryScope.java
@@ -9,7 +9,10 @@
   /** Any data centre of the caller's region, which has none in the caller's data centre. */
   REGION,
 
-  /** Any region, since the caller's has none. */
+  /** The regions that the host's routes with home regions permit, since the caller's has none. */
+  HOME_REGIONS,
+
+  /** Any region, since the caller's has none and the host's routes permit all. */
   ANY_REGION,
 
   /** There are no addresses. */
--- a/core/src/test/java/org/bambooarch/core/steering/fleet/InstanceDirectoryTest.java
+++ b/core/src/test/java/org/bambooarch/core/steering/fleet/InstanceDirectoryTest.java
@@ -4,6 +4,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 
 class InstanceDirectoryTest {
@@ -49,7 +50,10 @@
   private DirectoryAnswer answer(
       boolean self, boolean selfPartitioned, String region, String dataCentre, long atMillis) {
     return InstanceDirectory.answer(
-        fleet, self, selfPartitioned, region, dataCentre, atMillis * NANOS_PER_MILLI);
+        new DirectoryLookup(LookupFixture.OPEN_HOST, region, dataCentre),
+        new InstanceDirectory.Knowledge(
+            fleet, Optional.of(LookupFixture.CONFIG), self, selfPartitioned),
+        atMillis * NANOS_PER_MILLI);
   }
 
   private DirectoryScope scope(boolean self, String region, String dataCentre, long atMillis) {
--- a/gateway/src/main/java/org/bambooarch/gateway/endpoint/DirectoryFormat.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/endpoint/DirectoryFormat.java
@@ -3,20 +3,13 @@
 import com.linecorp.armeria.common.HttpRequest;
 import java.util.List;
 import java.util.Optional;
+import org.bambooarch.core.steering.fleet.DirectoryLookup;
 
 /** Wire format of directory lookups and readiness probes. */
 public interface DirectoryFormat {
 
-  /**
-   * Location of a client that asks which instances to use.
-   *
-   * @param region the client's region; empty if not stated
-   * @param dataCentre the client's data centre; empty if not stated
-   */
-  record Lookup(String region, String dataCentre) {}
-
   /** Reads a directory lookup; returns empty if the request is not one. */
-  Optional<Lookup> readLookup(HttpRequest request);
+  Optional<DirectoryLookup> readLookup(HttpRequest request);
 
   /**
    * Returns the JSON body of the response to a lookup.
--- a/gateway/src/main/java/org/bambooarch/gateway/endpoint/DirectoryService.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/endpoint/DirectoryService.java
@@ -8,12 +8,14 @@
 import com.linecorp.armeria.server.ServiceRequestContext;
 import java.util.Optional;
 import org.bambooarch.core.steering.fleet.DirectoryAnswer;
+import org.bambooarch.core.steering.fleet.DirectoryLookup;
 import org.bambooarch.core.steering.fleet.InstanceDirectory;
 import org.bambooarch.gateway.control.ControlState;
 
 /**
  * Responds to clients with the addresses of the instances that they should use. Responds with 404
- * to any other request and with 503 if no instance accepts clients.
+ * to any other request and with 503 if no instance that accepts clients may be named: clients keep
+ * the addresses that they have and ask the next instance.
  */
 public final class DirectoryService implements HttpService {
 
@@ -34,22 +36,21 @@
 
   @Override
   public HttpResponse serve(ServiceRequestContext context, HttpRequest request) {
-    Optional<DirectoryFormat.Lookup> lookup = format.readLookup(request);
+    Optional<DirectoryLookup> lookup = format.readLookup(request);
     if (lookup.isEmpty()) {
       return HttpResponse.of(HttpStatus.NOT_FOUND);
     }
     DirectoryAnswer answer =
-        InstanceDirectory.answer(
-            state.fleet(),
-            state.isReady(),
-            state.isPartitionedFromServers(),
-            lookup.get().region(),
-            lookup.get().dataCentre(),
-            state.clock().monotonicNanos());
+        InstanceDirectory.answer(lookup.get(), knowledge(), state.clock().monotonicNanos());
     if (answer.addresses().isEmpty()) {
       return HttpResponse.of(HttpStatus.SERVICE_UNAVAILABLE);
     }
     return HttpResponse.of(
         HttpStatus.OK, MediaType.JSON, format.lookupResponse(answer.addresses(), ttlMillis));
   }
+
+  private InstanceDirectory.Knowledge knowledge() {
+    return new InstanceDirectory.Knowledge(
+        state.fleet(), state.config(), state.isReady(), state.isPartitionedFromServers());
+  }
 }
