--- a/gateway/src/main/java/org/bambooarch/gateway/endpoint/LookupLogger.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/endpoint/LookupLogger.java
@@ -36,9 +36,10 @@
     metrics.onLookup(answer.scope());
     if (shouldLog(answer.scope())) {
       requestLog.write(
-          "event=lookup-answered scope=%s region=%s data-centre=%s addresses=%d %s %s %s"
+          "event=lookup-answered scope=%s host=%s region=%s data-centre=%s addresses=%d %s %s %s"
               .formatted(
                   GatewayMetrics.labelOf(answer.scope()),
+                  LogWord.of(lookup.host()),
                   LogWord.of(lookup.region()),
                   LogWord.of(lookup.dataCentre()),
                   answer.addresses().size(),
--- a/gateway/src/test/java/org/bambooarch/gateway/endpoint/LookupLoggerTest.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/endpoint/LookupLoggerTest.java
@@ -110,9 +110,10 @@
 
     assertThat(written())
         .contains(
-            "event=lookup-answered scope=any-region region=south data-centre=south-a addresses=1"
-                + " self-region=north self-ready=false stopping=false partitioned=false"
-                + " up-millis=2300 list-read=false known=5 live=3 region-known=4 region-unheard=1"
+            "event=lookup-answered scope=any-region host=shop.example region=south"
+                + " data-centre=south-a addresses=1 self-region=north self-ready=false"
+                + " stopping=false partitioned=false up-millis=2300 list-read=false known=5"
+                + " live=3 region-known=4 region-unheard=1"
                 + " region-live=2 region-taking=1 region-partitioned=1");
   }
 
@@ -158,10 +159,10 @@
   @Test
   void should_log_a_place_as_one_word_when_a_caller_states_any_text() {
     logger.onAnswered(
-        new DirectoryLookup("shop.example", "a \"b=" + "x".repeat(100), ""),
+        new DirectoryLookup("x y", "a \"b=" + "x".repeat(100), ""),
         new DirectoryAnswer(List.of(), DirectoryScope.NONE));
 
     assertThat(written())
-        .contains(" region=a??b=%s data-centre=- addresses=0 ".formatted("x".repeat(59)));
+        .contains(" host=x?y region=a??b=%s data-centre=- addresses=0 ".formatted("x".repeat(59)));
   }
 }
