--- a/core/src/main/java/org/bambooarch/core/steering/fleet/FleetTable.java
+++ b/core/src/main/java/org/bambooarch/core/steering/fleet/FleetTable.java
@@ -48,6 +48,8 @@
    */
   public static final long REMOVE_AFTER_NANOS = 60_000_000_000L;
 
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+
   private final InstanceIdentity self;
   private final Map<String, Peer> peers = new HashMap<>();
   private final FormerInstances former = new FormerInstances();
@@ -190,14 +192,14 @@
   /**
    * Returns the other instances that may be sending requests to servers: those that are live, that
    * may be alive behind a network partition, or that the platform has listed lately, without those
-   * that have reported that they take no callers or reach no server.
+   * that have reported that they accept no requests or reach no server.
    */
   public List<InstanceIdentity> possibleSenders(long nowNanos) {
     List<InstanceIdentity> senders = new ArrayList<>();
     for (Peer peer : peers.values()) {
       boolean mayBeAlive = nowNanos - lastSeenNanos(peer) < POSSIBLY_ALIVE_NANOS;
       boolean mayBeSending =
-          !peer.heard || (peer.newest.takesCallers() && !peer.newest.partitionedFromServers());
+          !peer.heard || (acceptsRequests(peer, nowNanos) && !peer.newest.partitionedFromServers());
       if (mayBeAlive && mayBeSending) {
         senders.add(peer.identity);
       }
@@ -205,6 +207,36 @@
     return senders;
   }
 
+  /** Returns the other live instances that are stopping and still accept requests. */
+  public List<StoppingInstance> stoppingInstances(long nowNanos) {
+    List<StoppingInstance> stopping = new ArrayList<>();
+    for (Peer peer : peers.values()) {
+      boolean live = peer.heard && nowNanos - peer.heardNanos < LIVENESS_TIMEOUT_NANOS;
+      if (!live || peer.newest.takesCallers()) {
+        continue;
+      }
+      if (acceptsRequests(peer, nowNanos)) {
+        stopping.add(new StoppingInstance(peer.identity, acceptUntilNanos(peer)));
+      }
+    }
+    return stopping;
+  }
+
+  private static boolean acceptsRequests(Peer peer, long nowNanos) {
+    return peer.newest.takesCallers() || nowNanos - acceptUntilNanos(peer) < 0;
+  }
+
+  private static long acceptUntilNanos(Peer peer) {
+    return peer.heardNanos + peer.newest.acceptsForMillis() * NANOS_PER_MILLI;
+  }
+
+  /** Returns whether another instance of the region was heard or listed lately, live or silent. */
+  public boolean hasRecentInstance(String region, long nowNanos) {
+    return peers.values().stream()
+        .filter(peer -> nowNanos - lastSeenNanos(peer) < POSSIBLY_ALIVE_NANOS)
+        .anyMatch(peer -> peer.identity.region().equals(region));
+  }
+
   private List<Heartbeat> heartbeatsWithin(long nanos, long nowNanos) {
     List<Heartbeat> heard = new ArrayList<>();
     for (Peer peer : peers.values()) {
--- a/core/src/test/java/org/bambooarch/core/steering/fleet/LookupFixture.java
+++ b/core/src/test/java/org/bambooarch/core/steering/fleet/LookupFixture.java
@@ -78,6 +78,7 @@
         new Heartbeat(
             sender,
             true,
+            0,
             partitioned,
             1,
             ListVersions.NONE,
--- a/core/src/test/java/org/bambooarch/core/steering/fleet/RollingStopSimulation.java
+++ b/core/src/test/java/org/bambooarch/core/steering/fleet/RollingStopSimulation.java
@@ -321,6 +321,7 @@
         new Heartbeat(
             node.identity,
             node.isReady(nowMillis),
+            0,
             false,
             1,
             ListVersions.NONE,
