--- a/core/src/test/java/org/bambooarch/core/steering/HomesRandomTest.java
+++ b/core/src/test/java/org/bambooarch/core/steering/HomesRandomTest.java
@@ -178,6 +178,7 @@
             new Heartbeat(
                 sender,
                 random.nextInt(4) > 0,
+                0,
                 random.nextInt(3) == 0,
                 1,
                 ListVersions.NONE,
--- a/core/src/test/java/org/bambooarch/core/steering/fleet/InstanceDirectoryTest.java
+++ b/core/src/test/java/org/bambooarch/core/steering/fleet/InstanceDirectoryTest.java
@@ -4,6 +4,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 
 class InstanceDirectoryTest {
@@ -12,6 +13,10 @@
 
   private final FleetTable fleet = new FleetTable(instance("self", "north", "north-a"));
 
+  InstanceDirectoryTest() {
+    fleet.onListRead(-FleetTable.LIVENESS_TIMEOUT_NANOS);
+  }
+
   private static InstanceIdentity instance(String name, String region, String dataCentre) {
     return new InstanceIdentity(name, 1, region, dataCentre, name + ":80", name + ":90");
   }
@@ -50,7 +55,10 @@
   private DirectoryAnswer answer(
       boolean self, boolean selfPartitioned, String region, String dataCentre, long atMillis) {
     return InstanceDirectory.answer(
-        fleet, self, selfPartitioned, region, dataCentre, atMillis * NANOS_PER_MILLI);
+        new DirectoryLookup(LookupFixture.OPEN_HOST, region, dataCentre),
+        new InstanceDirectory.Knowledge(
+            fleet, Optional.of(LookupFixture.CONFIG), self, selfPartitioned),
+        atMillis * NANOS_PER_MILLI);
   }
 
   private DirectoryScope scope(boolean self, String region, String dataCentre, long atMillis) {
--- a/gateway/src/main/java/org/bambooarch/gateway/endpoint/LookupLogger.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/endpoint/LookupLogger.java
@@ -1,6 +1,7 @@
 package org.bambooarch.gateway.endpoint;
 
 import org.bambooarch.core.steering.fleet.DirectoryAnswer;
+import org.bambooarch.core.steering.fleet.DirectoryLookup;
 import org.bambooarch.core.steering.fleet.DirectoryScope;
 import org.bambooarch.core.steering.fleet.FleetTable;
 import org.bambooarch.core.steering.fleet.RegionCounts;
@@ -31,13 +32,14 @@
   }
 
   /** Counts an answer, and logs it if it has no instance of the caller's region. */
-  void onAnswered(DirectoryFormat.Lookup lookup, DirectoryAnswer answer) {
+  void onAnswered(DirectoryLookup lookup, DirectoryAnswer answer) {
     metrics.onLookup(answer.scope());
     if (shouldLog(answer.scope())) {
       requestLog.write(
-          "event=lookup-answered scope=%s region=%s data-centre=%s addresses=%d %s %s %s"
+          "event=lookup-answered scope=%s host=%s region=%s data-centre=%s addresses=%d %s %s %s"
               .formatted(
                   GatewayMetrics.labelOf(answer.scope()),
+                  LogWord.of(lookup.host()),
                   LogWord.of(lookup.region()),
                   LogWord.of(lookup.dataCentre()),
                   answer.addresses().size(),
@@ -50,7 +52,7 @@
   private boolean shouldLog(DirectoryScope scope) {
     return switch (scope) {
       case DATA_CENTRE, REGION -> false;
-      case ANY_REGION, NONE ->
+      case HOME_REGIONS, ANY_REGION, NONE ->
           requestLog.tryAcquireLineOfCause("lookup-" + GatewayMetrics.labelOf(scope));
     };
   }
--- a/gateway/src/test/java/org/bambooarch/gateway/endpoint/LookupLoggerTest.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/endpoint/LookupLoggerTest.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.bambooarch.core.steering.fleet.DirectoryAnswer;
+import org.bambooarch.core.steering.fleet.DirectoryLookup;
 import org.bambooarch.core.steering.fleet.DirectoryScope;
 import org.bambooarch.core.steering.fleet.Heartbeat;
 import org.bambooarch.core.steering.fleet.InstanceIdentity;
@@ -30,8 +31,8 @@
 class LookupLoggerTest {
 
   private static final String LAST_LINE = "last line";
-  private static final DirectoryFormat.Lookup FROM_SOUTH =
-      new DirectoryFormat.Lookup("south", "south-a");
+  private static final DirectoryLookup FROM_SOUTH =
+      new DirectoryLookup("shop.example", "south", "south-a");
 
   private final ManualClock clock = ManualClock.startingAtZero();
   private final ByteArrayOutputStream output = new ByteArrayOutputStream();
@@ -110,9 +111,10 @@
 
     assertThat(written())
         .contains(
-            "event=lookup-answered scope=any-region region=south data-centre=south-a addresses=1"
-                + " self-region=north self-ready=false stopping=false partitioned=false"
-                + " up-millis=2300 list-read=false known=5 live=3 region-known=4 region-unheard=1"
+            "event=lookup-answered scope=any-region host=shop.example region=south"
+                + " data-centre=south-a addresses=1 self-region=north self-ready=false"
+                + " stopping=false partitioned=false up-millis=2300 list-read=false known=5"
+                + " live=3 region-known=4 region-unheard=1"
                 + " region-live=2 region-taking=1 region-partitioned=1");
   }
 
@@ -158,10 +160,10 @@
   @Test
   void should_log_a_place_as_one_word_when_a_caller_states_any_text() {
     logger.onAnswered(
-        new DirectoryFormat.Lookup("a \"b=" + "x".repeat(100), ""),
+        new DirectoryLookup("x y", "a \"b=" + "x".repeat(100), ""),
         new DirectoryAnswer(List.of(), DirectoryScope.NONE));
 
     assertThat(written())
-        .contains(" region=a??b=%s data-centre=- addresses=0 ".formatted("x".repeat(59)));
+        .contains(" host=x?y region=a??b=%s data-centre=- addresses=0 ".formatted("x".repeat(59)));
   }
 }
