Play regions, homes, look-ups and rolling stops in the fault soak

Instances, servers and clients are now spread over two regions with two data centres each. Five routes have homes, on hosts of their own and on the host of the other routes, and the operator moves them. HomeChecker compares what servers and clients saw with the homes of every configuration that may be in force: arrivals at servers outside the homes, and the share of requests that a look-up led to an instance that is neither in a home nor in the client's region.

--- a/soak/src/main/java/org/bambooarch/soak/ClientWorker.java
+++ b/soak/src/main/java/org/bambooarch/soak/ClientWorker.java
@@ -18,9 +18,6 @@
   /** Header that states the steady clock when the client began to send the attempt. */
   static final String SENT_HEADER = "Client-Sent-Nanos";
 
-  /** Share of safe requests on the route that configurations move. */
-  private static final double MOVED_SHARE = 0.3;
-
   /** Share of requests whose client leaves early. */
   private static final double LEAVE_SHARE = 0.2;
 
@@ -31,11 +28,7 @@
   private static final double PIPELINE_SHARE = 0.06;
 
   private static final double UNSAFE_SHARE = 0.35;
-  private static final double LONG_BODY_SHARE = 0.03;
-  private static final int LONG_BODY_BYTES = 150_000;
   private static final int MAX_ATTEMPTS = 3;
-  private static final int MIN_DEADLINE_MILLIS = 700;
-  private static final int MAX_DEADLINE_MILLIS = 3_000;
 
   /** What all clients of a run share. */
   record Environment(
@@ -48,17 +41,21 @@
       LongAdder left,
       LongAdder connectsFailed) {}
 
-  /** A request to send; its attempts may have different ids. */
-  private record Request(String target, boolean repeatable, byte[] body, int deadlineMillis) {}
-
   private final Environment environment;
   private final Random random;
+  private final RequestMix mix;
+  private final InstanceChoice choice;
   private CallerConnection connection;
+  private InstanceGroup.Instance instance;
   private int usesLeft;
 
-  ClientWorker(Environment environment, long seed) {
+  ClientWorker(Environment environment, String zone, long seed) {
     this.environment = environment;
     random = new Random(seed);
+    mix = RequestMix.of(PlayedDeployment.regionOf(zone), random);
+    LookupClient lookups =
+        new LookupClient(environment.instances(), environment.journal(), mix.host(), zone, random);
+    choice = new InstanceChoice(environment.instances(), lookups, random);
   }
 
   @Override
@@ -83,7 +80,7 @@
   }
 
   private void request() throws InterruptedException {
-    Request request = nextRequest(random.nextDouble() < UNSAFE_SHARE);
+    RequestMix.Request request = mix.next(random.nextDouble() < UNSAFE_SHARE);
     String id = nextId();
     for (int attempt = 1; attempt <= MAX_ATTEMPTS; attempt++) {
       if (attempt > 1) {
@@ -102,17 +99,21 @@
    * Returns the answer, or null if the client got no connection or has left; one that keeps its ids
    * may try again after it has left.
    */
-  private ClientAnswer attempt(Request request, String id, int attempt) {
+  private ClientAnswer attempt(RequestMix.Request request, String id, int attempt) {
     try {
       open();
       CallerConnection.Sent sent =
           connection.send(id, attempt, request.repeatable(), bytes(request, id, attempt));
+      noteHomed(request, sent);
       if (random.nextDouble() < LEAVE_SHARE) {
         ClientAnswer left = leave(sent);
         return environment.sameIds() ? left : null;
       }
       ClientAnswer answer = connection.read(sent, request.deadlineMillis() + 1_000);
       environment.journal().add(answer);
+      if (answer.status() == 0) {
+        choice.onFailed(instance);
+      }
       finishUse();
       return answer;
     } catch (IOException e) {
@@ -123,6 +124,21 @@
     }
   }
 
+  private void noteHomed(RequestMix.Request request, CallerConnection.Sent sent) {
+    if (request.homed()) {
+      environment
+          .journal()
+          .add(
+              new HomedRequest(
+                  request.route(),
+                  choice.clientRegion(),
+                  instance.name(),
+                  instance.region(),
+                  choice.lookup(),
+                  sent.sentNanos()));
+    }
+  }
+
   private ClientAnswer leave(CallerConnection.Sent sent) throws IOException {
     environment.left().increment();
     ClientAnswer answer = connection.read(sent, 1 + random.nextInt(200));
@@ -138,10 +154,11 @@
     try {
       open();
       List<CallerConnection.Sent> sent = new ArrayList<>();
-      Request request = nextRequest(false);
+      RequestMix.Request request = mix.next(false);
       for (int i = 0; i < requests; i++) {
         String id = nextId();
         sent.add(connection.send(id, 1, true, bytes(request, id, 1)));
+        noteHomed(request, sent.getLast());
       }
       for (CallerConnection.Sent each : sent) {
         environment.journal().add(connection.read(each, request.deadlineMillis() + 1_000));
@@ -165,22 +182,7 @@
     return answer.repeatable() && failed;
   }
 
-  private Request nextRequest(boolean unsafe) {
-    String service =
-        PlayedDeployment.SERVICES.get(random.nextInt(PlayedDeployment.SERVICES.size()));
-    String prefix = unsafe ? PlayedDeployment.UNSAFE_PREFIX : PlayedDeployment.SAFE_PREFIX;
-    boolean moved = !unsafe && random.nextDouble() < MOVED_SHARE;
-    String route = moved ? PlayedDeployment.MOVED_ROUTE : prefix + service;
-    boolean longBody = random.nextDouble() < LONG_BODY_SHARE;
-    int length = longBody ? LONG_BODY_BYTES : unsafe ? random.nextInt(500) : 0;
-    return new Request(
-        "/" + route + "/" + Integer.toHexString(random.nextInt(4_096)),
-        !unsafe,
-        Messages.randomBody(length, random),
-        MIN_DEADLINE_MILLIS + random.nextInt(MAX_DEADLINE_MILLIS - MIN_DEADLINE_MILLIS));
-  }
-
-  private static byte[] bytes(Request request, String id, int attempt) {
+  private static byte[] bytes(RequestMix.Request request, String id, int attempt) {
     String head =
         """
         %s %s HTTP/1.1
@@ -196,7 +198,7 @@
             .formatted(
                 request.body().length > 0 ? "POST" : "GET",
                 request.target(),
-                PlayedDeployment.HOST,
+                request.host(),
                 id,
                 request.deadlineMillis(),
                 PlayedDeployment.API_KEY,
@@ -213,16 +215,22 @@
   }
 
   private void open() throws IOException {
-    if (connection != null && !connection.isOpen()) {
+    choice.refresh();
+    if (connection != null && (!connection.isOpen() || !choice.isNamed(instance))) {
       closeConnection();
     }
     if (connection != null) {
       return;
     }
-    InstanceGroup.Instance instance = environment.instances().anyReady(random);
-    connection =
-        new CallerConnection(
-            instance.name(), instance.front(), environment.connections().incrementAndGet());
+    instance = choice.pick();
+    try {
+      connection =
+          new CallerConnection(
+              instance.name(), instance.front(), environment.connections().incrementAndGet());
+    } catch (IOException e) {
+      choice.onFailed(instance);
+      throw e;
+    }
     usesLeft = random.nextDouble() < SINGLE_USE_SHARE ? 1 : 2 + random.nextInt(20);
   }
 
--- /dev/null
+++ b/soak/src/main/java/org/bambooarch/soak/HomeChecker.java
@@ -0,0 +1,138 @@
+package org.bambooarch.soak;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Finds requests on routes with homes that reached a server outside the homes, and those that a
+ * look-up led to an instance that is neither in a home nor in the client's region.
+ *
+ * <p>Homes are those of every configuration that may be in force: one counts from its sending until
+ * {@link ChangeChecker#BOUND_NANOS} after the acknowledgement of the next one.
+ */
+final class HomeChecker {
+
+  /** Time after something unplanned in which look-ups are not judged. */
+  static final long UNPLANNED_NANOS = TimeUnit.SECONDS.toNanos(15);
+
+  /** Of so many requests on routes with homes, one may go to an instance elsewhere. */
+  private static final int REQUESTS_PER_ELSEWHERE = 20;
+
+  /**
+   * What was found.
+   *
+   * @param outside arrivals at servers outside the homes, late by the time since the homes that
+   *     allowed it were replaced, or since the first configuration if none did
+   * @param oldestHomesMillis age of the oldest homes that an arrival met, from the acknowledgement
+   *     of newer ones
+   * @param judged requests on routes with homes with nothing unplanned shortly before
+   * @param elsewhere those of them that went to an instance elsewhere
+   */
+  record Result(
+      List<ChangeChecker.Late> outside,
+      long oldestHomesMillis,
+      int judged,
+      List<HomedRequest> elsewhere) {
+
+    boolean isShareKept() {
+      return (long) elsewhere.size() * REQUESTS_PER_ELSEWHERE <= judged;
+    }
+  }
+
+  private final PlayedChanges changes;
+
+  HomeChecker(PlayedChanges changes) {
+    this.changes = changes;
+  }
+
+  /** Checks all arrivals at servers, and all requests on routes with homes. */
+  Result check(List<ServerRun> runs, List<HomedRequest> requests) {
+    List<PlayedChanges.Configuration> configurations = changes.configurations();
+    List<ChangeChecker.Late> outside = new ArrayList<>();
+    long oldestMillis = 0;
+    for (ServerRun run : runs) {
+      if (run.sentNanos() == 0) {
+        continue;
+      }
+      int allowing = lastAllowing(configurations, run);
+      if (allowing < 0) {
+        outside.add(late(run, configurations.getFirst().ackNanos()));
+        continue;
+      }
+      if (allowing == configurations.size() - 1) {
+        continue;
+      }
+      ChangeChecker.Late late = late(run, configurations.get(allowing + 1).ackNanos());
+      if (isExcused(late)) {
+        continue;
+      }
+      oldestMillis = Math.max(oldestMillis, late.lateMillis());
+      if (late.lateMillis() > TimeUnit.NANOSECONDS.toMillis(ChangeChecker.BOUND_NANOS)) {
+        outside.add(late);
+      }
+    }
+    List<HomedRequest> judged =
+        requests.stream()
+            .filter(
+                each ->
+                    !changes.isUnplannedWithin(
+                        each.sentNanos() - UNPLANNED_NANOS, each.sentNanos()))
+            .toList();
+    List<HomedRequest> elsewhere = judged.stream().filter(this::isElsewhere).toList();
+    return new Result(outside, oldestMillis, judged.size(), elsewhere);
+  }
+
+  /** Returns whether a look-up named an instance in a region that is no home of some route. */
+  boolean namesElsewhere(Lookup lookup) {
+    return lookup.namedRegions().stream()
+        .filter(region -> !region.equals(lookup.clientRegion()))
+        .anyMatch(
+            region ->
+                PlayedDeployment.HOMED_ROUTES.stream()
+                    .filter(route -> route.host().equals(lookup.host()))
+                    .anyMatch(route -> !isHome(route.name(), region, lookup.askedNanos())));
+  }
+
+  private boolean isElsewhere(HomedRequest request) {
+    return !request.instanceRegion().equals(request.clientRegion())
+        && !isHome(request.route(), request.instanceRegion(), request.sentNanos());
+  }
+
+  private boolean isHome(String route, String region, long atNanos) {
+    List<PlayedChanges.Configuration> configurations = changes.configurations();
+    for (int i = configurations.size() - 1; i >= 0; i--) {
+      boolean begun = configurations.get(i).sentNanos() - atNanos <= 0;
+      if (begun && configurations.get(i).allows(route, region)) {
+        return true;
+      }
+      if (atNanos - configurations.get(i).ackNanos() > ChangeChecker.BOUND_NANOS) {
+        return false;
+      }
+    }
+    return false;
+  }
+
+  /** Returns the last configuration sent before an arrival that allows it, or -1. */
+  private static int lastAllowing(List<PlayedChanges.Configuration> configurations, ServerRun run) {
+    for (int i = configurations.size() - 1; i >= 0; i--) {
+      PlayedChanges.Configuration configuration = configurations.get(i);
+      boolean begun = configuration.sentNanos() - run.receivedNanos() < 0;
+      if (begun && configuration.allows(run.route(), run.region())) {
+        return i;
+      }
+    }
+    return -1;
+  }
+
+  private static ChangeChecker.Late late(ServerRun run, long ackNanos) {
+    return new ChangeChecker.Late(
+        run, ackNanos, TimeUnit.NANOSECONDS.toMillis(run.sentNanos() - ackNanos));
+  }
+
+  private boolean isExcused(ChangeChecker.Late late) {
+    long sentNanos = late.run().sentNanos();
+    return sentNanos - late.ackNanos() <= 0
+        || changes.isSilentWithin(sentNanos - ChangeChecker.CONTACT_NANOS, sentNanos);
+  }
+}
--- a/soak/src/main/java/org/bambooarch/soak/InstanceGroup.java
+++ b/soak/src/main/java/org/bambooarch/soak/InstanceGroup.java
@@ -10,6 +10,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -21,27 +22,38 @@
 
   private static final int FRONT_PORT = 8206;
   private static final int READY_PORT = 8201;
+  private static final int DIRECTORY_PORT = 8209;
   private static final int METRICS_PORT = 9464;
 
   /** Longest time that an instance may take until it is ready. */
   private static final long MAX_START_NANOS = TimeUnit.SECONDS.toNanos(60);
 
   private static final int READY_TIMEOUT_MILLIS = 1_000;
-  private static final int MAX_DRAWS = 5;
   private static final long POLL_PAUSE_MILLIS = 100;
 
+  /** What an instance is doing, as far as this process knows. */
+  enum State {
+    STARTING,
+    READY,
+    /** SIGTERM was sent, and the process has not ended. */
+    STOPPING,
+    ENDED
+  }
+
   /** One instance; its process changes when it is started again. */
   static final class Instance {
     private final String name;
     private final String ip;
+    private final String zone;
     private final Path settings;
     private volatile Process process;
     private volatile boolean stopping;
-    private volatile boolean ready;
+    private volatile State state = State.ENDED;
 
-    Instance(String name, String ip, Path settings) {
+    Instance(String name, String ip, String zone, Path settings) {
       this.name = name;
       this.ip = ip;
+      this.zone = zone;
       this.settings = settings;
     }
 
@@ -49,9 +61,30 @@
       return name;
     }
 
+    String zone() {
+      return zone;
+    }
+
+    String region() {
+      return PlayedDeployment.regionOf(zone);
+    }
+
+    State state() {
+      return state;
+    }
+
     InetSocketAddress front() {
       return new InetSocketAddress(ip, FRONT_PORT);
     }
+
+    InetSocketAddress directory() {
+      return new InetSocketAddress(ip, DIRECTORY_PORT);
+    }
+
+    /** Returns the front address as a look-up names it. */
+    String frontName() {
+      return ip + ":" + FRONT_PORT;
+    }
   }
 
   private final Path root;
@@ -60,6 +93,7 @@
   private final List<Instance> instances = new ArrayList<>();
   private final AtomicInteger endedAtStart = new AtomicInteger();
   private final AtomicInteger endedLater = new AtomicInteger();
+  private final AtomicInteger endedByForce = new AtomicInteger();
   private volatile boolean closed;
 
   /**
@@ -80,7 +114,7 @@
       String ip = network + "." + (11 + i);
       Path settings = logs.resolve(name + ".json");
       Files.writeString(settings, settings(name, ip, zone, store));
-      instances.add(new Instance(name, ip, settings));
+      instances.add(new Instance(name, ip, zone, settings));
     }
   }
 
@@ -90,7 +124,7 @@
         name,
         ip,
         zone,
-        zone.substring(0, zone.indexOf('-')),
+        PlayedDeployment.regionOf(zone),
         store.getAddress().getHostAddress(),
         store.getPort());
   }
@@ -150,6 +184,7 @@
     builder.redirectErrorStream(true);
     builder.redirectOutput(
         ProcessBuilder.Redirect.appendTo(logs.resolve(instance.name + ".log").toFile()));
+    instance.state = State.STARTING;
     instance.process = builder.start();
   }
 
@@ -165,7 +200,7 @@
         start(instance);
       }
       if (isReady(instance)) {
-        instance.ready = true;
+        instance.state = State.READY;
         instance.stopping = false;
         return;
       }
@@ -195,15 +230,13 @@
     return instances.get(random.nextInt(instances.size()));
   }
 
-  /** Returns an instance that was ready when last seen, or any if several draws find none. */
-  Instance anyReady(Random random) {
-    for (int draw = 1; draw < MAX_DRAWS; draw++) {
-      Instance instance = any(random);
-      if (instance.ready) {
-        return instance;
-      }
-    }
-    return any(random);
+  List<Instance> all() {
+    return List.copyOf(instances);
+  }
+
+  /** Returns the instance with a front address that a look-up named. */
+  Optional<Instance> withFrontName(String frontName) {
+    return instances.stream().filter(each -> each.frontName().equals(frontName)).findFirst();
   }
 
   private synchronized boolean claim(Instance instance) {
@@ -222,15 +255,17 @@
       return false;
     }
     if (kill) {
-      instance.ready = false;
+      instance.state = State.ENDED;
       instance.process.destroyForcibly();
     } else {
+      instance.state = State.STOPPING;
       instance.process.destroy();
     }
     if (!instance.process.waitFor(8, TimeUnit.SECONDS)) {
+      endedByForce.incrementAndGet();
       instance.process.destroyForcibly().waitFor();
     }
-    instance.ready = false;
+    instance.state = State.ENDED;
     if (!closed) {
       start(instance);
       awaitReady(instance);
@@ -238,24 +273,36 @@
     return true;
   }
 
-  /** Starts instances again whose process has ended by itself. */
-  void restartEnded() throws IOException, InterruptedException {
+  /**
+   * Starts instances again whose process has ended by itself.
+   *
+   * @return whether there was one
+   */
+  boolean restartEnded() throws IOException, InterruptedException {
+    boolean found = false;
     for (Instance instance : instances) {
       if (!instance.process.isAlive() && claim(instance)) {
+        found = true;
+        instance.state = State.ENDED;
         endedLater.incrementAndGet();
         Logger.warn(
             "event=ended instance={} status={}", instance.name, instance.process.exitValue());
-        instance.ready = false;
         start(instance);
         awaitReady(instance);
       }
     }
+    return found;
   }
 
   int endedAtStart() {
     return endedAtStart.get();
   }
 
+  /** Returns how many instances had not ended within eight seconds after SIGTERM. */
+  int endedByForce() {
+    return endedByForce.get();
+  }
+
   int endedLater() {
     return endedLater.get();
   }
--- a/soak/src/main/java/org/bambooarch/soak/Journal.java
+++ b/soak/src/main/java/org/bambooarch/soak/Journal.java
@@ -11,12 +11,22 @@
 
   private final ConcurrentHashMap<String, Queue<ServerRun>> runsById = new ConcurrentHashMap<>();
   private final Queue<ClientAnswer> answers = new ConcurrentLinkedQueue<>();
+  private final Queue<Lookup> lookups = new ConcurrentLinkedQueue<>();
+  private final Queue<HomedRequest> homedRequests = new ConcurrentLinkedQueue<>();
   private final Queue<ClientAnswer> unasked = new ConcurrentLinkedQueue<>();
 
   void add(ServerRun run) {
     runsById.computeIfAbsent(run.requestId(), id -> new ConcurrentLinkedQueue<>()).add(run);
   }
 
+  void add(Lookup lookup) {
+    lookups.add(lookup);
+  }
+
+  void add(HomedRequest request) {
+    homedRequests.add(request);
+  }
+
   void add(ClientAnswer answer) {
     answers.add(answer);
   }
@@ -40,6 +50,14 @@
     return List.copyOf(unasked);
   }
 
+  List<Lookup> lookups() {
+    return List.copyOf(lookups);
+  }
+
+  List<HomedRequest> homedRequests() {
+    return List.copyOf(homedRequests);
+  }
+
   List<ServerRun> runs() {
     List<ServerRun> all = new ArrayList<>();
     runsById.values().forEach(all::addAll);
--- a/soak/src/main/java/org/bambooarch/soak/Messages.java
+++ b/soak/src/main/java/org/bambooarch/soak/Messages.java
@@ -32,6 +32,12 @@
     return joined;
   }
 
+  /** Returns the first segment of the path of a request line, which names the route. */
+  static String firstSegment(String requestLine) {
+    String[] segments = requestLine.split("[/ ?]", 4);
+    return segments.length < 3 ? "" : segments[2];
+  }
+
   static byte[] bytes(String text) {
     return text.getBytes(StandardCharsets.ISO_8859_1);
   }
--- a/soak/src/main/java/org/bambooarch/soak/Operator.java
+++ b/soak/src/main/java/org/bambooarch/soak/Operator.java
@@ -3,10 +3,13 @@
 import java.io.IOException;
 import java.net.BindException;
 import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.LongAdder;
+import java.util.stream.Collectors;
 import org.bambooarch.platform.fake.StoreServer;
 import org.tinylog.Logger;
 
@@ -19,19 +22,29 @@
   /** Shortest time for which a server serves after it has said that it leaves. */
   private static final int LEAVING_MILLIS = 4_000;
 
+  /** Share of the configurations that change the homes of a route. */
+  private static final double HOME_MOVES_SHARE = 0.6;
+
   private static final int MAX_BIND_ATTEMPTS = 50;
   private static final long BIND_PAUSE_MILLIS = 200;
 
   /** How often each action was taken. */
   record Counts(
       LongAdder configs,
+      LongAdder homesMoved,
       LongAdder serversKilled,
       LongAdder serversLeft,
       LongAdder killed,
       LongAdder terminated) {
 
     Counts() {
-      this(new LongAdder(), new LongAdder(), new LongAdder(), new LongAdder(), new LongAdder());
+      this(
+          new LongAdder(),
+          new LongAdder(),
+          new LongAdder(),
+          new LongAdder(),
+          new LongAdder(),
+          new LongAdder());
     }
   }
 
@@ -50,6 +63,10 @@
   private final Set<Integer> claimed = ConcurrentHashMap.newKeySet();
 
   private final Counts counts = new Counts();
+
+  /** Homes in the newest configuration; only the action that configures uses them. */
+  private final Map<String, Set<String>> homes = PlayedDeployment.usualHomes();
+
   private int configVersion;
 
   Operator(
@@ -69,15 +86,22 @@
     return counts;
   }
 
-  /** Starts all actions, each with its own random numbers. */
-  void start(long seed) {
+  /**
+   * Starts all actions, each with its own random numbers.
+   *
+   * @param plannedOnly whether nothing is killed
+   */
+  void start(long seed, boolean plannedOnly) {
     Random seeds = new Random(seed);
     repeat("configure", 4_000, seeds.nextLong(), this::configure);
-    repeat("kill-server", 700, seeds.nextLong(), this::replaceServer);
     repeat("leave-server", 2_500, seeds.nextLong(), this::leaveServer);
-    repeat("kill-instance", 5_000, seeds.nextLong(), random -> restart(random, true));
     repeat("terminate-instance", 5_000, seeds.nextLong(), random -> restart(random, false));
-    repeat("watch", 500, seeds.nextLong(), random -> instances.restartEnded());
+    repeat("watch", 500, seeds.nextLong(), random -> restartEnded());
+    if (plannedOnly) {
+      return;
+    }
+    repeat("kill-server", 700, seeds.nextLong(), this::replaceServer);
+    repeat("kill-instance", 5_000, seeds.nextLong(), random -> restart(random, true));
   }
 
   private void repeat(String name, int pauseMillis, long seed, Action action) {
@@ -109,16 +133,38 @@
     configVersion += 1 + random.nextInt(3);
     String movedTo =
         PlayedDeployment.SERVICES.get(random.nextInt(PlayedDeployment.SERVICES.size()));
+    if (random.nextDouble() < HOME_MOVES_SHARE) {
+      moveHome(random);
+    }
     long sentNanos = System.nanoTime();
     store.put(
         "op",
         "config",
         PlayedDeployment.config(
-            100 + configVersion, 1_500 + random.nextInt(2_500), random.nextBoolean(), movedTo));
-    changes.onConfiguration(movedTo, sentNanos, System.nanoTime());
+            100 + configVersion,
+            1_500 + random.nextInt(2_500),
+            random.nextBoolean(),
+            movedTo,
+            homes));
+    changes.onConfiguration(
+        new PlayedChanges.Configuration(movedTo, homes, sentNanos, System.nanoTime()));
     counts.configs().increment();
   }
 
+  /** Gives a route another home, both regions as homes, or its usual home. */
+  private void moveHome(Random random) {
+    List<PlayedDeployment.HomedRoute> routes = PlayedDeployment.HOMED_ROUTES;
+    PlayedDeployment.HomedRoute route = routes.get(random.nextInt(routes.size()));
+    Set<String> all = Set.copyOf(PlayedDeployment.regions());
+    Set<String> usual = Set.of(route.region());
+    Set<String> others =
+        all.stream().filter(region -> !usual.contains(region)).collect(Collectors.toSet());
+    Set<String> next = List.of(usual, usual, others, all).get(random.nextInt(4));
+    if (!next.equals(homes.put(route.name(), next))) {
+      counts.homesMoved().increment();
+    }
+  }
+
   /** Kills a server, which is back at the same address, with its id or a new one. */
   private void replaceServer(Random random) throws InterruptedException, IOException {
     int index = random.nextInt(servers.length);
@@ -135,6 +181,7 @@
   private void replaceServer(int index, Random random) throws InterruptedException, IOException {
     SoakServer old = servers[index];
     old.kill(random.nextBoolean());
+    changes.onUnplanned(System.nanoTime(), System.nanoTime());
     counts.serversKilled().increment();
     boolean sameId = random.nextBoolean();
     Thread.sleep(random.nextInt(1_000));
@@ -209,9 +256,23 @@
     }
   }
 
+  private void restartEnded() throws IOException, InterruptedException {
+    long beginNanos = System.nanoTime();
+    if (instances.restartEnded()) {
+      changes.onUnplanned(beginNanos, System.nanoTime());
+    }
+  }
+
   private void restart(Random random, boolean kill) throws IOException, InterruptedException {
+    final long beginNanos = System.nanoTime();
+    if (kill) {
+      changes.onUnplanned(beginNanos, beginNanos);
+    }
     if (instances.restart(instances.any(random), kill)) {
       (kill ? counts.killed() : counts.terminated()).increment();
+      if (kill) {
+        changes.onUnplanned(beginNanos, System.nanoTime());
+      }
     }
   }
 }
--- a/soak/src/main/java/org/bambooarch/soak/PlayedDeployment.java
+++ b/soak/src/main/java/org/bambooarch/soak/PlayedDeployment.java
@@ -2,8 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
 
-/** Host, routes, services and tenant of the deployment, as the operator writes them. */
+/** Hosts, routes, services and tenant of the deployment, as the operator writes them. */
 final class PlayedDeployment {
 
   static final String HOST = "shop.example";
@@ -15,13 +19,48 @@
   static final String MOVED_ROUTE = "moved";
 
   static final List<String> SERVICES = List.of("catalogue", "search", "desk");
-  static final List<String> ZONES = List.of("north-a", "north-b", "south-a");
+
+  /** Data centres, two in each region; neighbours in the list are of different regions. */
+  static final List<String> ZONES = List.of("north-a", "south-a", "north-b", "south-b");
+
+  /**
+   * A route that has homes.
+   *
+   * @param region the home that it has in most configurations
+   */
+  record HomedRoute(String name, String host, boolean safe, String region) {}
+
+  /** Route with a home on the host whose other routes have none. */
+  static final HomedRoute LOCAL_ROUTE = new HomedRoute("read-local", HOST, true, "north");
+
+  static final List<HomedRoute> HOMED_ROUTES =
+      List.of(
+          LOCAL_ROUTE,
+          new HomedRoute("read-north", "north.example", true, "north"),
+          new HomedRoute("order-north", "north.example", false, "north"),
+          new HomedRoute("read-south", "south.example", true, "south"),
+          new HomedRoute("order-south", "south.example", false, "south"));
 
   /** Share of the servers that the first service has, and the first two together. */
   private static final double[] SHARES = {0.5, 0.8};
 
   private PlayedDeployment() {}
 
+  static String regionOf(String zone) {
+    return zone.substring(0, zone.indexOf('-'));
+  }
+
+  static List<String> regions() {
+    return ZONES.stream().map(PlayedDeployment::regionOf).distinct().toList();
+  }
+
+  /** Returns the homes that routes have in most configurations, by the route's name. */
+  static Map<String, Set<String>> usualHomes() {
+    Map<String, Set<String>> homes = new TreeMap<>();
+    HOMED_ROUTES.forEach(route -> homes.put(route.name(), Set.of(route.region())));
+    return homes;
+  }
+
   /** Returns the service of server {@code index} of {@code servers}. */
   static String serviceOf(int index, int servers) {
     double position = (double) index / servers;
@@ -37,8 +76,14 @@
    * @param timeoutMillis timeout of all routes
    * @param withExtraRoute whether it has a route that others do not have
    * @param movedTo service of the route that configurations move
+   * @param homes regions of each route that has homes
    */
-  static String config(int version, long timeoutMillis, boolean withExtraRoute, String movedTo) {
+  static String config(
+      int version,
+      long timeoutMillis,
+      boolean withExtraRoute,
+      String movedTo,
+      Map<String, Set<String>> homes) {
     List<String> routes = new ArrayList<>();
     List<String> services = new ArrayList<>();
     for (String service : SERVICES) {
@@ -46,6 +91,9 @@
       routes.add(route(UNSAFE_PREFIX + service, "unsafe", timeoutMillis, service));
       services.add(Templates.fill("service.json", service));
     }
+    for (HomedRoute route : HOMED_ROUTES) {
+      routes.add(homedRoute(route, timeoutMillis, homes.get(route.name())));
+    }
     routes.add(route(MOVED_ROUTE, "safe", timeoutMillis, movedTo));
     if (withExtraRoute) {
       routes.add(route("extra", "safe", timeoutMillis, SERVICES.getFirst()));
@@ -55,6 +103,17 @@
   }
 
   private static String route(String name, String kind, long timeoutMillis, String service) {
-    return Templates.fill("route.json", name, HOST, kind, timeoutMillis, service);
+    return Templates.fill("route.json", name, HOST, kind, timeoutMillis, service, "");
+  }
+
+  private static String homedRoute(HomedRoute route, long timeoutMillis, Set<String> homes) {
+    return Templates.fill(
+        "route.json",
+        route.name(),
+        route.host(),
+        route.safe() ? "safe" : "unsafe",
+        timeoutMillis,
+        SERVICES.getFirst(),
+        homes.stream().sorted().map(home -> '"' + home + '"').collect(Collectors.joining(",")));
   }
 }
--- a/soak/src/main/java/org/bambooarch/soak/ServerConnection.java
+++ b/soak/src/main/java/org/bambooarch/soak/ServerConnection.java
@@ -173,7 +173,8 @@
             order,
             executed,
             server.service(),
-            head.startLine().contains(" /" + PlayedDeployment.MOVED_ROUTE + "/"),
+            PlayedDeployment.regionOf(server.zone()),
+            Messages.firstSegment(head.startLine()),
             head.header(ClientWorker.SENT_HEADER).isEmpty()
                 ? 0
                 : Long.parseLong(head.header(ClientWorker.SENT_HEADER)),
--- a/soak/src/main/java/org/bambooarch/soak/ServerRun.java
+++ b/soak/src/main/java/org/bambooarch/soak/ServerRun.java
@@ -12,7 +12,8 @@
  * @param order position of the request on that connection, from 1
  * @param executed whether the request ran, as opposed to a refusal
  * @param service service of the server
- * @param moved whether the request was sent on the route that configurations move
+ * @param region region of the server
+ * @param route name of the route on which the request was sent
  * @param sentNanos steady clock when the client began to send the request, or 0 if it did not state
  *     it
  * @param repeatable whether the request may run more than once
@@ -31,7 +32,8 @@
     int order,
     boolean executed,
     String service,
-    boolean moved,
+    String region,
+    String route,
     long sentNanos,
     boolean repeatable,
     Answer answer,
@@ -41,6 +43,11 @@
     AtomicLong writtenNanos,
     AtomicLong secondWrittenNanos) {
 
+  /** Returns whether the request was sent on the route that configurations move. */
+  boolean moved() {
+    return route.equals(PlayedDeployment.MOVED_ROUTE);
+  }
+
   /** Returns whether the request ran on behalf of an attempt, or may have. */
   boolean ranFor(int clientAttempt) {
     return executed && (attempt == 0 || attempt == clientAttempt);
--- a/soak/src/main/java/org/bambooarch/soak/Soak.java
+++ b/soak/src/main/java/org/bambooarch/soak/Soak.java
@@ -7,7 +7,9 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.LongAdder;
 import org.bambooarch.platform.fake.StoreServer;
@@ -35,6 +37,8 @@
       int startGroup,
       boolean sameIds,
       boolean calm,
+      boolean plannedOnly,
+      double rollSeconds,
       boolean storeTrouble) {}
 
   private final Plan plan;
@@ -65,8 +69,10 @@
             new InstanceGroup(root, logs, network, plan.instances(), store.address())) {
       Runtime.getRuntime().addShutdownHook(new Thread(instances::close));
       String movedTo = PlayedDeployment.SERVICES.getFirst();
-      store.put("op", "config", PlayedDeployment.config(1, 3_000, false, movedTo));
-      changes.onConfiguration(movedTo, System.nanoTime(), System.nanoTime());
+      Map<String, Set<String>> homes = PlayedDeployment.usualHomes();
+      store.put("op", "config", PlayedDeployment.config(1, 3_000, false, movedTo, homes));
+      changes.onConfiguration(
+          new PlayedChanges.Configuration(movedTo, homes, System.nanoTime(), System.nanoTime()));
       LongAdder healthChecks = new LongAdder();
       SoakServer[] servers = startServers(store, network, faults, healthChecks);
       instances.startAll(plan.startGroup());
@@ -74,13 +80,17 @@
       Operator operator = new Operator(store, servers, instances, clock, changes);
       long operatorSeed = seeds.nextLong();
       if (!plan.calm()) {
-        operator.start(operatorSeed);
+        operator.start(operatorSeed, plan.plannedOnly());
       }
       long storeSeed = seeds.nextLong();
       StoreTrouble storeTrouble = new StoreTrouble(store, changes, clock);
       if (plan.storeTrouble()) {
         storeTrouble.start(storeSeed);
       }
+      RollingStops rollingStops = new RollingStops(instances, clock);
+      if (plan.rollSeconds() > 0) {
+        rollingStops.start(plan.rollSeconds());
+      }
       LongAdder left = new LongAdder();
       LongAdder failedConnects = new LongAdder();
       List<Thread> clients = startClients(instances, left, failedConnects);
@@ -91,12 +101,16 @@
       }
       report.add("instances-ended-at-start", instances.endedAtStart());
       report.add("instances-ended-later", instances.endedLater());
+      report.add("instances-ended-by-force", instances.endedByForce());
+      report.add("instances-stopped-in-turn", rollingStops.stops());
+      report.add("instances-stopped-late", rollingStops.lateStops());
       report.add("instances-killed", operator.counts().killed().sum());
       report.add("instances-terminated", operator.counts().terminated().sum());
       report.add("servers-killed", operator.counts().serversKilled().sum());
       report.add("servers-left", operator.counts().serversLeft().sum());
       storeTrouble.counts().forEach((kind, count) -> report.add("store-" + kind, count.sum()));
       report.add("configurations", operator.counts().configs().sum());
+      report.add("homes-moved", operator.counts().homesMoved().sum());
       report.add("clients-left", left.sum());
       report.add("connections-failed", failedConnects.sum());
       report.add("health-checks", healthChecks.sum());
@@ -147,7 +161,8 @@
             failedConnects);
     List<Thread> clients = new ArrayList<>();
     for (int i = 0; i < plan.ratePerSecond(); i++) {
-      clients.add(Thread.ofVirtual().start(new ClientWorker(environment, seeds.nextLong())));
+      String zone = PlayedDeployment.ZONES.get(i % PlayedDeployment.ZONES.size());
+      clients.add(Thread.ofVirtual().start(new ClientWorker(environment, zone, seeds.nextLong())));
     }
     return clients;
   }
--- a/soak/src/main/java/org/bambooarch/soak/SoakMain.java
+++ b/soak/src/main/java/org/bambooarch/soak/SoakMain.java
@@ -43,6 +43,10 @@
     OptionSpec<Void> sameIds =
         parser.accepts("same-ids", "retries keep the request's id, also after a client left");
     OptionSpec<Void> calm = parser.accepts("calm", "the operator does nothing");
+    OptionSpec<Void> planned = parser.accepts("planned", "the operator kills nothing");
+    OptionSpec<Double> roll =
+        option(
+            parser, "roll", "seconds from one SIGTERM to the next, 0 for none", Double.class, 0.0);
     OptionSpec<Void> storeTrouble =
         parser.accepts(
             "store-trouble", "the store loses and delays responses, is silent, drops its history");
@@ -67,6 +71,8 @@
               options.valueOf(group),
               options.has(sameIds),
               options.has(calm),
+              options.has(planned),
+              options.valueOf(roll),
               options.has(storeTrouble));
       return new Soak(plan, Path.of("").toAbsolutePath(), logs).run() ? 0 : BROKEN;
     } catch (OptionException e) {
--- a/soak/src/main/java/org/bambooarch/soak/SoakReport.java
+++ b/soak/src/main/java/org/bambooarch/soak/SoakReport.java
@@ -46,16 +46,22 @@
     add("oldest-leaving-millis", lists.oldestLeavingMillis());
     add("broken-CONFIG", lists.config().size());
     add("broken-DRAIN", lists.drain().size());
+    HomeReport homes = new HomeReport(journal, changes, clock);
+    homes.figures().forEach(this::add);
     figures.forEach((name, value) -> System.out.println(name + "=" + value));
     printLate("CONFIG", lists.config());
     printLate("DRAIN", lists.drain());
+    homes.printBroken();
     Map<AnswerChecker.Promise, Integer> printed = new EnumMap<>(AnswerChecker.Promise.class);
     for (AnswerChecker.Violation violation : violations) {
       if (printed.merge(violation.promise(), 1, Integer::sum) <= MAX_PRINTED) {
         printRecords(violation);
       }
     }
-    return violations.isEmpty() && lists.config().isEmpty() && lists.drain().isEmpty();
+    return violations.isEmpty()
+        && lists.config().isEmpty()
+        && lists.drain().isEmpty()
+        && homes.isKept();
   }
 
   private void printLate(String rule, List<ChangeChecker.Late> late) {
--- a/soak/src/main/java/org/bambooarch/soak/StoreTrouble.java
+++ b/soak/src/main/java/org/bambooarch/soak/StoreTrouble.java
@@ -75,16 +75,18 @@
 
   private void play(Kind kind, Random random) throws InterruptedException {
     counts.get(kind).increment();
+    final long beginNanos = System.nanoTime();
     if (kind == Kind.GAP) {
       store.beginGap();
       Thread.sleep(GAP_MILLIS);
       store.endGap();
+      changes.onUnplanned(beginNanos, System.nanoTime());
       return;
     }
-    final long beginNanos = System.nanoTime();
     store.setTrouble(kind.lossShare, kind.longestDelayMillis);
     Thread.sleep(random.nextInt(MIN_TROUBLE_MILLIS, MAX_TROUBLE_MILLIS));
     store.setTrouble(0, 0);
+    changes.onUnplanned(beginNanos, System.nanoTime());
     if (kind == Kind.SILENT) {
       changes.onSilence(beginNanos, System.nanoTime());
     }
--- a/soak/src/test/java/org/bambooarch/soak/ChangeCheckerTest.java
+++ b/soak/src/test/java/org/bambooarch/soak/ChangeCheckerTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Test;
@@ -26,7 +27,8 @@
         1,
         true,
         service,
-        moved,
+        "north",
+        moved ? PlayedDeployment.MOVED_ROUTE : "read-desk",
         millis(sentMillis),
         true,
         answer,
@@ -38,7 +40,8 @@
   }
 
   private void configure(String movedTo, long sentMillis, long ackMillis) {
-    changes.onConfiguration(movedTo, millis(sentMillis), millis(ackMillis));
+    changes.onConfiguration(
+        new PlayedChanges.Configuration(movedTo, Map.of(), millis(sentMillis), millis(ackMillis)));
   }
 
   private ChangeChecker.Result check(ServerRun run) {
