Play a customer with homes in the soak

A fifth of the clients belong to a customer whose homes bind beside those of the route, and the operator moves them too. Where route and customer have no region in common, every arrival at a server is found.

In AnswerCheckerTest and ChangeCheckerTest only the construction of the records changes: a run states its customer.

--- a/soak/src/main/java/org/bambooarch/soak/ClientWorker.java
+++ b/soak/src/main/java/org/bambooarch/soak/ClientWorker.java
@@ -18,6 +18,9 @@
   /** Header that states the steady clock when the client began to send the attempt. */
   static final String SENT_HEADER = "Client-Sent-Nanos";
 
+  /** Header that states the name of the customer. */
+  static final String CUSTOMER_HEADER = "Client-Customer";
+
   /** Share of requests whose client leaves early. */
   private static final double LEAVE_SHARE = 0.2;
 
@@ -192,6 +195,7 @@
         Credential: %s
         %s: %d
         %s: %d
+        %s: %s
         Content-Length: %d
 
         """
@@ -201,11 +205,13 @@
                 request.host(),
                 id,
                 request.deadlineMillis(),
-                PlayedDeployment.API_KEY,
+                request.customer().apiKey(),
                 ATTEMPT_HEADER,
                 attempt,
                 SENT_HEADER,
                 System.nanoTime(),
+                CUSTOMER_HEADER,
+                request.customer().name(),
                 request.body().length);
     return Messages.join(Messages.bytes(head.replace("\n", "\r\n")), request.body());
   }
--- a/soak/src/main/java/org/bambooarch/soak/HomeChecker.java
+++ b/soak/src/main/java/org/bambooarch/soak/HomeChecker.java
@@ -6,8 +6,9 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Finds requests on routes with homes that reached a server outside the homes, and those that a
- * look-up led to an instance that is neither in a home nor in the client's region.
+ * Finds requests on routes or of customers with homes that reached a server outside the homes, and
+ * those on routes with homes that a look-up led to an instance that is neither in a home nor in the
+ * client's region.
  *
  * <p>Homes are those of every configuration that may be in force: one counts from its sending until
  * {@link ChangeChecker#BOUND_NANOS} after the acknowledgement of the next one.
@@ -116,7 +117,9 @@
     for (int i = configurations.size() - 1; i >= 0; i--) {
       PlayedChanges.Configuration configuration = configurations.get(i);
       boolean begun = configuration.sentNanos() - run.receivedNanos() < 0;
-      if (begun && configuration.allows(run.route(), run.region())) {
+      if (begun
+          && configuration.allows(run.route(), run.region())
+          && configuration.allows(run.customer(), run.region())) {
         return i;
       }
     }
--- a/soak/src/main/java/org/bambooarch/soak/Operator.java
+++ b/soak/src/main/java/org/bambooarch/soak/Operator.java
@@ -22,7 +22,7 @@
   /** Shortest time for which a server serves after it has said that it leaves. */
   private static final int LEAVING_MILLIS = 4_000;
 
-  /** Share of the configurations that change the homes of a route. */
+  /** Share of the configurations that change the homes of a route or a customer. */
   private static final double HOME_MOVES_SHARE = 0.8;
 
   private static final int MAX_BIND_ATTEMPTS = 50;
@@ -151,17 +151,17 @@
     counts.configs().increment();
   }
 
-  /** Gives a route homes that it does not have now: one region, or both. */
+  /** Gives a route or a customer homes that it does not have now: one region, or both. */
   private void moveHome(Random random) {
-    List<PlayedDeployment.HomedRoute> routes = PlayedDeployment.HOMED_ROUTES;
-    String route = routes.get(random.nextInt(routes.size())).name();
+    List<String> names = List.copyOf(homes.keySet());
+    String name = names.get(random.nextInt(names.size()));
     List<Set<String>> choices = new ArrayList<>();
     for (String region : PlayedDeployment.regions()) {
       choices.add(Set.of(region));
     }
     choices.add(Set.copyOf(PlayedDeployment.regions()));
-    choices.remove(homes.get(route));
-    homes.put(route, choices.get(random.nextInt(choices.size())));
+    choices.remove(homes.get(name));
+    homes.put(name, choices.get(random.nextInt(choices.size())));
     counts.homesMoved().increment();
   }
 
--- a/soak/src/main/java/org/bambooarch/soak/PlayedChanges.java
+++ b/soak/src/main/java/org/bambooarch/soak/PlayedChanges.java
@@ -16,7 +16,7 @@
    * A configuration.
    *
    * @param movedTo service of the route that configurations move
-   * @param homes regions of each route that has homes, by the route's name
+   * @param homes regions of each route and customer that has homes, by its name
    * @param sentNanos steady clock before it was written
    * @param ackNanos steady clock when the store had acknowledged it
    */
@@ -27,9 +27,9 @@
       homes = Map.copyOf(homes);
     }
 
-    /** Returns whether requests on a route may run in a region. */
-    boolean allows(String route, String region) {
-      Set<String> regions = homes.getOrDefault(route, Set.of());
+    /** Returns whether requests on a route, or of a customer, may run in a region. */
+    boolean allows(String name, String region) {
+      Set<String> regions = homes.getOrDefault(name, Set.of());
       return regions.isEmpty() || regions.contains(region);
     }
   }
--- a/soak/src/main/java/org/bambooarch/soak/PlayedDeployment.java
+++ b/soak/src/main/java/org/bambooarch/soak/PlayedDeployment.java
@@ -7,11 +7,10 @@
 import java.util.TreeMap;
 import java.util.stream.Collectors;
 
-/** Hosts, routes, services and tenant of the deployment, as the operator writes them. */
+/** Hosts, routes, services and customers of the deployment, as the operator writes them. */
 final class PlayedDeployment {
 
   static final String HOST = "shop.example";
-  static final String API_KEY = "soak-key";
   static final String SAFE_PREFIX = "read-";
   static final String UNSAFE_PREFIX = "order-";
 
@@ -33,6 +32,16 @@
   /** Route with a home on the host whose other routes have none. */
   static final HomedRoute LOCAL_ROUTE = new HomedRoute("read-local", HOST, true, "north");
 
+  /** A customer; its key is its only one. */
+  record Customer(String name, String apiKey) {}
+
+  static final Customer CUSTOMER = new Customer("plain", "soak-key");
+
+  /** Customer that has homes. */
+  static final Customer HOMED_CUSTOMER = new Customer("northern", "soak-key-northern");
+
+  private static final String HOMED_CUSTOMER_REGION = "north";
+
   static final List<HomedRoute> HOMED_ROUTES =
       List.of(
           LOCAL_ROUTE,
@@ -54,10 +63,11 @@
     return ZONES.stream().map(PlayedDeployment::regionOf).distinct().toList();
   }
 
-  /** Returns the homes that routes have at first, by the route's name. */
+  /** Returns the homes that routes and customers have at first, by their name. */
   static Map<String, Set<String>> firstHomes() {
     Map<String, Set<String>> homes = new TreeMap<>();
     HOMED_ROUTES.forEach(route -> homes.put(route.name(), Set.of(route.region())));
+    homes.put(HOMED_CUSTOMER.name(), Set.of(HOMED_CUSTOMER_REGION));
     return homes;
   }
 
@@ -76,7 +86,7 @@
    * @param timeoutMillis timeout of all routes
    * @param withExtraRoute whether it has a route that others do not have
    * @param movedTo service of the route that configurations move
-   * @param homes regions of each route that has homes
+   * @param homes regions of each route and customer that has homes, by its name
    */
   static String config(
       int version,
@@ -98,8 +108,17 @@
     if (withExtraRoute) {
       routes.add(route("extra", "safe", timeoutMillis, SERVICES.getFirst()));
     }
+    List<String> customers = new ArrayList<>();
+    for (Customer customer : List.of(CUSTOMER, HOMED_CUSTOMER)) {
+      String regions = listed(homes.getOrDefault(customer.name(), Set.of()));
+      customers.add(Templates.fill("customer.json", customer.name(), customer.apiKey(), regions));
+    }
     return Templates.fill(
-        "config.json", version, String.join(",", routes), String.join(",", services), API_KEY);
+        "config.json",
+        version,
+        String.join(",", routes),
+        String.join(",", services),
+        String.join(",", customers));
   }
 
   private static String route(String name, String kind, long timeoutMillis, String service) {
@@ -114,6 +133,13 @@
         route.safe() ? "safe" : "unsafe",
         timeoutMillis,
         SERVICES.getFirst(),
-        homes.stream().sorted().map(home -> '"' + home + '"').collect(Collectors.joining(",")));
+        listed(homes));
+  }
+
+  private static String listed(Set<String> regions) {
+    return regions.stream()
+        .sorted()
+        .map(region -> '"' + region + '"')
+        .collect(Collectors.joining(","));
   }
 }
--- a/soak/src/main/java/org/bambooarch/soak/RequestMix.java
+++ b/soak/src/main/java/org/bambooarch/soak/RequestMix.java
@@ -3,13 +3,16 @@
 import java.util.List;
 import java.util.Random;
 
-/** The requests of one client, all to one host. */
+/** The requests of one client, all of one customer to one host. */
 final class RequestMix {
 
   /** Share of the clients whose host has routes with homes only. */
   private static final double HOMED_CLIENTS_SHARE = 0.5;
 
-  /** Share of these clients whose host has its first home in the client's region. */
+  /** Share of the clients whose customer has homes. */
+  private static final double HOMED_CUSTOMER_SHARE = 0.2;
+
+  /** Share of the clients with such a host whose host has its first home in the client's region. */
   private static final double OWN_REGION_SHARE = 0.9;
 
   /** Share of safe requests on the route that configurations move. */
@@ -25,6 +28,7 @@
 
   /** A request to send; its attempts may have different ids. */
   record Request(
+      PlayedDeployment.Customer customer,
       String host,
       String route,
       boolean homed,
@@ -33,12 +37,17 @@
       byte[] body,
       int deadlineMillis) {}
 
+  private final PlayedDeployment.Customer customer;
   private final String host;
   private final Random random;
 
   private RequestMix(String host, Random random) {
     this.host = host;
     this.random = random;
+    customer =
+        random.nextDouble() < HOMED_CUSTOMER_SHARE
+            ? PlayedDeployment.HOMED_CUSTOMER
+            : PlayedDeployment.CUSTOMER;
   }
 
   /** Returns the requests of a client of a region, with a host that is drawn for it. */
@@ -67,6 +76,7 @@
     boolean longBody = random.nextDouble() < LONG_BODY_SHARE;
     int length = longBody ? LONG_BODY_BYTES : unsafe ? random.nextInt(500) : 0;
     return new Request(
+        customer,
         host,
         route,
         PlayedDeployment.HOMED_ROUTES.stream().anyMatch(homed -> homed.name().equals(route)),
--- a/soak/src/main/java/org/bambooarch/soak/ServerConnection.java
+++ b/soak/src/main/java/org/bambooarch/soak/ServerConnection.java
@@ -175,6 +175,7 @@
             server.service(),
             PlayedDeployment.regionOf(server.zone()),
             Messages.firstSegment(head.startLine()),
+            head.header(ClientWorker.CUSTOMER_HEADER),
             head.header(ClientWorker.SENT_HEADER).isEmpty()
                 ? 0
                 : Long.parseLong(head.header(ClientWorker.SENT_HEADER)),
--- a/soak/src/main/java/org/bambooarch/soak/ServerRun.java
+++ b/soak/src/main/java/org/bambooarch/soak/ServerRun.java
@@ -14,6 +14,7 @@
  * @param service service of the server
  * @param region region of the server
  * @param route name of the route on which the request was sent
+ * @param customer name of the customer that sent it, or empty if the request did not state it
  * @param sentNanos steady clock when the client began to send the request, or 0 if it did not state
  *     it
  * @param repeatable whether the request may run more than once
@@ -34,6 +35,7 @@
     String service,
     String region,
     String route,
+    String customer,
     long sentNanos,
     boolean repeatable,
     Answer answer,
--- a/soak/src/test/java/org/bambooarch/soak/AnswerCheckerTest.java
+++ b/soak/src/test/java/org/bambooarch/soak/AnswerCheckerTest.java
@@ -157,6 +157,7 @@
             "catalogue",
             "north",
             "order-catalogue",
+            "plain",
             0,
             false,
             new ServerRun.Answer(status, "s" + seals, LENGTH_BYTES, HASH),
--- a/soak/src/test/java/org/bambooarch/soak/ChangeCheckerTest.java
+++ b/soak/src/test/java/org/bambooarch/soak/ChangeCheckerTest.java
@@ -29,6 +29,7 @@
         service,
         "north",
         moved ? PlayedDeployment.MOVED_ROUTE : "read-desk",
+        "plain",
         millis(sentMillis),
         true,
         answer,
--- a/soak/src/test/java/org/bambooarch/soak/HomeCheckerTest.java
+++ b/soak/src/test/java/org/bambooarch/soak/HomeCheckerTest.java
@@ -30,6 +30,16 @@
 
   private static ServerRun arrival(
       String route, String region, boolean executed, long sentMillis, long receivedMillis) {
+    return arrival(route, "plain", region, executed, sentMillis, receivedMillis);
+  }
+
+  private static ServerRun arrival(
+      String route,
+      String customer,
+      String region,
+      boolean executed,
+      long sentMillis,
+      long receivedMillis) {
     ServerRun.Answer answer = new ServerRun.Answer(executed ? 200 : 503, "s", 1, "h");
     return new ServerRun(
         "a",
@@ -41,6 +51,7 @@
         "catalogue",
         region,
         route,
+        customer,
         millis(sentMillis),
         true,
         answer,
@@ -87,6 +98,27 @@
     assertThat(outside(arrival("read-desk", "south", true, 100, 110))).isEmpty();
   }
 
+  @Test
+  void should_find_an_arrival_outside_the_homes_of_its_customer_when_its_route_allows_it() {
+    changes.onConfiguration(
+        new PlayedChanges.Configuration(
+            "desk", Map.of(ROUTE, BOTH, "northern", Set.of("north")), 0, millis(1)));
+
+    assertThat(outside(arrival(ROUTE, "northern", "south", true, 100, 110))).hasSize(1);
+    assertThat(outside(arrival(ROUTE, "northern", "north", true, 100, 110))).isEmpty();
+    assertThat(outside(arrival(ROUTE, "plain", "south", true, 100, 110))).isEmpty();
+  }
+
+  @Test
+  void should_find_every_arrival_when_route_and_customer_have_no_home_in_common() {
+    changes.onConfiguration(
+        new PlayedChanges.Configuration(
+            "desk", Map.of(ROUTE, Set.of("south"), "northern", Set.of("north")), 0, millis(1)));
+
+    assertThat(outside(arrival(ROUTE, "northern", "south", true, 100, 110))).hasSize(1);
+    assertThat(outside(arrival(ROUTE, "northern", "north", true, 100, 110))).hasSize(1);
+  }
+
   @Test
   void should_find_an_arrival_outside_the_homes_when_the_server_refused_it() {
     configure(Set.of("north"), 0, 1);
