Let only an instance that can serve requests be the last of its region, and never accept again

An instance that was stopped before it had read its lists stayed until shortly before the end of the grace, although it could serve nothing, and came back that much later; one that is partitioned from all servers did the same, and kept one that reaches them from staying. An instance that had refused requests could accept some again when the ready instance of its region was gone, possibly after its stop was complete: these would have been cut. Two stops within 0.3 s of each other were ordered by name, so that the one with less time left could be the one that stays; 0.1 s is enough for the delay of heartbeats within a region.

--- a/core/src/main/java/org/bambooarch/core/steering/fleet/FleetTable.java
+++ b/core/src/main/java/org/bambooarch/core/steering/fleet/FleetTable.java
@@ -207,12 +207,15 @@
     return senders;
   }
 
-  /** Returns the other live instances that are stopping and still accept requests. */
+  /**
+   * Returns the other live instances that are stopping and still accept requests, without those
+   * that reach no server.
+   */
   public List<StoppingInstance> stoppingInstances(long nowNanos) {
     List<StoppingInstance> stopping = new ArrayList<>();
     for (Peer peer : peers.values()) {
       boolean live = peer.heard && nowNanos - peer.heardNanos < LIVENESS_TIMEOUT_NANOS;
-      if (!live || peer.newest.takesCallers()) {
+      if (!live || peer.newest.takesCallers() || peer.newest.partitionedFromServers()) {
         continue;
       }
       if (acceptsRequests(peer, nowNanos)) {
--- a/core/src/main/java/org/bambooarch/core/steering/fleet/StopOrder.java
+++ b/core/src/main/java/org/bambooarch/core/steering/fleet/StopOrder.java
@@ -10,10 +10,10 @@
 public final class StopOrder {
 
   /**
-   * Difference below which two stops count as simultaneous, in nanoseconds: 0.3 s. Heartbeats tell
+   * Difference below which two stops count as simultaneous, in nanoseconds: 0.1 s. Heartbeats tell
    * the time that is left, which is as inexact as their delay.
    */
-  static final long SIMULTANEOUS_NANOS = 300_000_000L;
+  static final long SIMULTANEOUS_NANOS = 100_000_000L;
 
   private StopOrder() {}
 
--- a/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
@@ -529,11 +529,19 @@
         schedule -> new StoppingInstance(fleet.self(), acceptUntilNanos(schedule)));
   }
 
+  /** Returns whether it can serve requests; once it has refused some, it accepts none again. */
+  private boolean canStayLast() {
+    return isLoaded() && !isPartitionedFromServers() && acceptsRequests();
+  }
+
+  private boolean isLastInRegion(long nowNanos) {
+    return stopSchedule
+        .filter(schedule -> StopOrder.leavesLast(fleet, schedule.acceptUntilNanos(), nowNanos))
+        .isPresent();
+  }
+
   private void updateLeavesLast(long nowNanos) {
-    boolean last =
-        stopSchedule
-            .filter(schedule -> StopOrder.leavesLast(fleet, schedule.acceptUntilNanos(), nowNanos))
-            .isPresent();
+    boolean last = canStayLast() && isLastInRegion(nowNanos);
     if (last != leavesLast) {
       leavesLast = last;
       Logger.info("event=leaves-last last={} accepts-for-millis={}", last, acceptsForMillis());
--- a/gateway/src/test/java/org/bambooarch/gateway/control/ControlStateTest.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/control/ControlStateTest.java
@@ -92,6 +92,68 @@
     assertThat(state.isConfigurationOutdated()).isFalse();
   }
 
+  private Heartbeat heartbeatOfOther(boolean takesCallers) {
+    Heartbeat ready = heartbeat(7);
+    return new Heartbeat(
+        ready.sender(),
+        takesCallers,
+        0,
+        false,
+        7,
+        ListVersions.NONE,
+        Map.of(),
+        Map.of(),
+        Map.of(),
+        Map.of(),
+        List.of());
+  }
+
+  private void load() {
+    state.replaceList(Topic.OPERATOR, configuration(7));
+    state.replaceList(Topic.SERVERS, new ControlUpdate(0, 1, List.of()));
+  }
+
+  private void stopAsLast() {
+    state.onHeartbeat(heartbeatOfOther(false));
+    state.beginShutdown(StopSchedule.from(clock.monotonicNanos(), 6_000));
+  }
+
+  private boolean acceptsAfterMillis(long millis) {
+    clock.advanceMillis(millis);
+    state.tick();
+    return state.acceptsRequests();
+  }
+
+  // Incident HOME: an instance that left early left its region empty, one that stays too long comes
+  // back late.
+  @Test
+  void should_accept_requests_until_another_instance_of_the_region_is_ready_when_it_stops_last() {
+    load();
+    stopAsLast();
+    assertThat(acceptsAfterMillis(3_000)).isTrue();
+
+    state.onHeartbeat(heartbeatOfOther(true));
+    assertThat(acceptsAfterMillis(100)).isFalse();
+    state.onHeartbeat(heartbeatOfOther(false));
+    assertThat(acceptsAfterMillis(100)).as("accepted again").isFalse();
+  }
+
+  @Test
+  void should_accept_requests_until_shortly_before_the_end_when_no_other_instance_gets_ready() {
+    load();
+    stopAsLast();
+
+    assertThat(acceptsAfterMillis(5_200)).isTrue();
+    assertThat(acceptsAfterMillis(100)).isFalse();
+  }
+
+  @Test
+  void should_not_stay_longer_when_it_stops_last_but_was_never_ready() {
+    stopAsLast();
+
+    assertThat(acceptsAfterMillis(2_800)).isFalse();
+  }
+
   private static ControlUpdate operatorChange(long version, ControlChange change) {
     return new ControlUpdate(0, version, List.of(change));
   }
