Name ready instances elsewhere before stopping ones when the host permits all regions

After 2.8 s of its stop, the last instance of a region sends only requests whose deadline is before its end: with the usual grace none of 3 s. For a host without homes a ready instance of another region serves all of them, as before this incident; for a host with homes the stopping ones of the caller's region come first, as they may be the only ones allowed.

--- a/core/src/main/java/org/bambooarch/core/steering/fleet/InstanceDirectory.java
+++ b/core/src/main/java/org/bambooarch/core/steering/fleet/InstanceDirectory.java
@@ -4,9 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.function.Predicate;
-import java.util.stream.Collectors;
 import org.bambooarch.core.steering.config.HomeRegions;
 import org.bambooarch.core.steering.config.SteeringConfig;
 
@@ -20,10 +18,10 @@
  *   <li>the ready instances of its own data centre, because traffic between data centres is charged
  *       for
  *   <li>those of its region
+ *   <li>if the host has no routes with home regions, the ready instances of any region
  *   <li>instances of its region that are stopping and still accept requests, since all instances of
  *       a region may be stopping or starting at the same moment
- *   <li>ready instances of the regions that all routes of the host with home regions permit; of any
- *       region if the host has none
+ *   <li>ready instances of the regions that all routes of the host with home regions permit
  * </ol>
  *
  * <p>Instances that are partitioned from all servers are named only if no other instance may be.
@@ -49,7 +47,7 @@
    * What the instance that answers knows.
    *
    * @param fleet itself and the others
-   * @param config the configuration in force; empty if it has none yet
+   * @param config the configuration in force; empty if it has none yet, or knows of a newer one
    * @param takesCallers whether it takes callers
    * @param stopping itself if it is stopping and still accepts requests
    * @param partitioned whether it is partitioned from all servers
@@ -79,13 +77,28 @@
     }
     HomeRegions elsewhere = regionsElsewhere(lookup, knowledge, nowNanos);
     return inRegion(reaching, lookup)
-        .or(() -> stoppingInRegion(lookup.region(), knowledge, nowNanos))
-        .or(() -> inRegions(reaching, elsewhere))
+        .or(
+            () ->
+                withoutReadyInRegion(
+                    elsewhere,
+                    inRegions(reaching, elsewhere),
+                    stoppingInRegion(lookup.region(), knowledge, nowNanos)))
         .or(() -> inRegion(partitioned, lookup))
         .or(() -> inRegions(partitioned, elsewhere))
         .orElse(NO_ANSWER);
   }
 
+  /** An instance elsewhere serves requests of any length, a stopping one short ones only. */
+  private static Optional<DirectoryAnswer> withoutReadyInRegion(
+      HomeRegions elsewhere,
+      Optional<DirectoryAnswer> readyElsewhere,
+      Optional<DirectoryAnswer> stoppingInRegion) {
+    return switch (elsewhere) {
+      case HomeRegions.All all -> readyElsewhere.or(() -> stoppingInRegion);
+      case HomeRegions.Only only -> stoppingInRegion.or(() -> readyElsewhere);
+    };
+  }
+
   /** Returns the regions whose instances may be named if the caller's region has none. */
   private static HomeRegions regionsElsewhere(
       DirectoryLookup lookup, Knowledge knowledge, long nowNanos) {
@@ -153,14 +166,8 @@
 
   /** Returns the instances that are stopping, without those that are partitioned. */
   private static List<StoppingInstance> stoppingInstances(Knowledge knowledge, long nowNanos) {
-    Set<String> partitioned =
-        knowledge.fleet().liveHeartbeats(nowNanos).stream()
-            .filter(Heartbeat::partitionedFromServers)
-            .map(heartbeat -> heartbeat.sender().name())
-            .collect(Collectors.toSet());
     List<StoppingInstance> stopping =
         new ArrayList<>(knowledge.fleet().stoppingInstances(nowNanos));
-    stopping.removeIf(instance -> partitioned.contains(instance.identity().name()));
     if (!knowledge.partitioned()) {
       knowledge.stopping().ifPresent(stopping::add);
     }
