Refuse requests with homes while a newer configuration has been missed for a second

An instance that had lost the store, or that the store turned away, heard from heartbeats of a newer configuration and went on by the homes of its own for as long as that lasted, although the newer one may have moved them: requests ran outside their homes.

Requests whose route or customer has homes by the configuration in force are refused as not run when another instance has applied a newer one for over a second; others go on. Look-ups take the homes of hosts for unknown from the first moment and name the caller's region only.

HomesAtEachSendTest's new case failed before (the request ran in the earlier home).

--- a/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
@@ -349,6 +349,15 @@
     return newestKnownVersion > (config == null ? 0 : config.version());
   }
 
+  /**
+   * Returns whether another instance has applied a newer configuration for longer than a change
+   * takes to be known here, so that this instance may have lost touch with the store.
+   */
+  public boolean isConfigurationLongMissed() {
+    long missedNanos = clock.monotonicNanos() - missedConfigurationSinceNanos;
+    return hasMissedConfiguration() && missedNanos > MAX_CONFIRMED_AGE_MILLIS * NANOS_PER_MILLI;
+  }
+
   private void onNewestConfigurationUnknown(String reason) {
     newestConfigurationUnknown = true;
     Logger.warn(
--- a/gateway/src/main/java/org/bambooarch/gateway/endpoint/DirectoryService.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/endpoint/DirectoryService.java
@@ -69,7 +69,7 @@
   private InstanceDirectory.Knowledge knowledge() {
     return new InstanceDirectory.Knowledge(
         state.fleet(),
-        state.config(),
+        state.hasMissedConfiguration() ? Optional.empty() : state.config(),
         state.isReady(),
         state.stoppingSelf(),
         state.isPartitionedFromServers());
--- a/gateway/src/main/java/org/bambooarch/gateway/request/ProxyExchange.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/ProxyExchange.java
@@ -247,6 +247,10 @@
 
   private void chooseServerAndSend() {
     timeline.onDecided(state.clock().monotonicNanos());
+    if (mayHomesHaveMoved()) {
+      refuseWithoutServer(RequestOutcome.CONFIGURATION_OUTDATED, DEFAULT_RETRY_AFTER_MILLIS);
+      return;
+    }
     boolean partitioned = context.relaySelector().isPartitionedFromServers();
     relay = partitioned ? chooseRelay() : Optional.empty();
     log.onChoseRelay(relay);
@@ -281,6 +285,14 @@
     return state.config().orElse(admittedBy).homeRegionsOf(route, keyHolder);
   }
 
+  /**
+   * Returns whether a configuration that this instance could not read for some time may have moved
+   * the homes. Another instance knows them.
+   */
+  private boolean mayHomesHaveMoved() {
+    return state.isConfigurationLongMissed() && !homeRegions().equals(HomeRegions.ALL);
+  }
+
   /** Refuses the request, for which there is no server now, as not run unless it may have run. */
   private void refuseWithoutServer(RequestOutcome outcome, long retryAfterMillis) {
     if (retryDecider.mayHaveRun()) {
--- a/gateway/src/test/java/org/bambooarch/gateway/bodypath/HomesAtEachSendTest.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/bodypath/HomesAtEachSendTest.java
@@ -213,6 +213,42 @@
         .noneMatch(link -> link.channel().isOpen());
   }
 
+  // Issue 53 (HOME): an instance that had lost the store went on by homes that a newer
+  // configuration, of which heartbeats had told, may have moved.
+  @Test
+  void should_refuse_as_not_run_a_request_with_homes_when_a_newer_configuration_is_long_missed() {
+    world.configure(2, only("north"));
+    world.hearOfConfiguration(3);
+    start("r1", true, 0);
+    connectAll();
+    assertThat(hostsThatGot("r1")).containsExactly(NORTH_HOST);
+    respond("r1");
+
+    world.advance(1_001);
+    SimulatedClient client = start("r2", true, 0);
+    connectAll();
+    assertThat(hostsThatGot("r2")).isEmpty();
+    assertThat(client.status()).isEqualTo(503);
+
+    world.configure(3, only("south"));
+    start("r3", true, 0);
+    connectAll();
+    assertThat(hostsThatGot("r3")).containsExactly(SOUTH_HOST);
+    respond("r3");
+  }
+
+  @Test
+  void should_serve_a_request_without_homes_when_a_newer_configuration_is_long_missed() {
+    world.hearOfConfiguration(3);
+    world.advance(1_001);
+
+    SimulatedClient client = start("r1", true, 0);
+    connectAll();
+    respond("r1");
+    assertThat(hostsThatGot("r1")).hasSize(1);
+    assertThat(client.status()).isEqualTo(200);
+  }
+
   private static CustomerPolicy customer(HomeRegions homes) {
     // Any charge would exceed this rate.
     return new CustomerPolicy("kerala", Set.of(KeyDigest.of("key")), 0, 1e-9, 0, homes);
