--- a/gateway/src/main/java/org/bambooarch/gateway/request/RequestPlaces.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/RequestPlaces.java
@@ -12,33 +12,35 @@
 /** The regions that may serve one request, and those that it was last sent to, for the log. */
 final class RequestPlaces {
 
-  private final Supplier<HomeRegions> homes;
+  private final Supplier<HomeRegions> homesNow;
   private final String selfRegion;
+  private HomeRegions homes;
   private Optional<String> serverRegion = Optional.empty();
   private Optional<String> relayRegion = Optional.empty();
 
   /**
    * Creates the places of a request that was sent nowhere.
    *
-   * @param homes returns the regions that may serve the request by the configuration in force
+   * @param homesNow returns the regions that may serve the request by the configuration in force
    * @param selfRegion region of this instance
    */
-  RequestPlaces(Supplier<HomeRegions> homes, String selfRegion) {
-    this.homes = homes;
+  RequestPlaces(Supplier<HomeRegions> homesNow, String selfRegion) {
+    this.homesNow = homesNow;
+    this.homes = homesNow.get();
     this.selfRegion = selfRegion;
   }
 
-  /** Records the server and the relay of an attempt as they are listed now. */
+  /** Records the server and the relay of an attempt, and the homes, as they are now. */
   void onChosen(ServerState server, Optional<InstanceIdentity> relay) {
+    homes = homesNow.get();
     serverRegion = Optional.of(server.region());
     relayRegion = relay.map(InstanceIdentity::region);
   }
 
   /** Returns whether the server or the relay of the last attempt is in a region that is no home. */
   boolean areOutsideHomes() {
-    HomeRegions permitted = homes.get();
-    return serverRegion.filter(region -> !permitted.permits(region)).isPresent()
-        || relayRegion.filter(region -> !permitted.permits(region)).isPresent();
+    return serverRegion.filter(region -> !homes.permits(region)).isPresent()
+        || relayRegion.filter(region -> !homes.permits(region)).isPresent();
   }
 
   /**
@@ -53,7 +55,7 @@
   }
 
   private String describeHomes() {
-    return switch (homes.get()) {
+    return switch (homes) {
       case HomeRegions.All all -> "";
       case HomeRegions.Only(Set<String> regions) ->
           " homes=%s self-region=%s"
