Accept late in a stop only requests that are over well before the end

That instance accepted requests after the usual 2.8 s whose deadline was just before its end, and read the bodies of others only to refuse them. A request is accepted then if its deadline is at least 0.5 s before the end, and refused as not run otherwise, before its body is read. What becomes of requests accepted earlier is unchanged.

That these were the requests that were cut was not traced.

--- a/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
@@ -525,6 +525,17 @@
         .orElse(true);
   }
 
+  /**
+   * Returns whether a new request is accepted that must be over after the given time, while {@link
+   * #acceptsRequests()}.
+   */
+  public boolean acceptsRequestOf(long timeoutMillis) {
+    long nowNanos = clock.monotonicNanos();
+    return stopSchedule
+        .map(schedule -> schedule.accepts(nowNanos + timeoutMillis * NANOS_PER_MILLI, nowNanos))
+        .orElse(true);
+  }
+
   private long acceptUntilNanos(StopSchedule schedule) {
     return leavesLast ? schedule.lastAcceptNanos() : schedule.acceptUntilNanos();
   }
--- a/gateway/src/main/java/org/bambooarch/gateway/control/StopSchedule.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/StopSchedule.java
@@ -53,13 +53,23 @@
 
   /**
    * Returns the monotonic time, in nanoseconds, from which new requests are refused if this is the
-   * last instance of its region. After {@code acceptUntilNanos} only requests are sent whose
-   * deadline is before the end, see {@link #maySend}.
+   * last instance of its region.
    */
   public long lastAcceptNanos() {
     return Math.max(acceptUntilNanos, endNanos - LAST_ACCEPT_MARGIN_MILLIS * NANOS_PER_MILLI);
   }
 
+  /**
+   * Returns whether a new request may be accepted at the given monotonic time: after {@code
+   * acceptUntilNanos}, only if it is over well before the end whatever its server does, so that it
+   * is not aborted on a busy machine either.
+   *
+   * @param deadlineNanos monotonic deadline of the request
+   */
+  public boolean accepts(long deadlineNanos, long nowNanos) {
+    return accepts(nowNanos) || deadlineNanos - lastAcceptNanos() <= 0;
+  }
+
   /** Returns whether the process must have ended at the given monotonic time. */
   public boolean hasEnded(long nowNanos) {
     return nowNanos - endNanos >= 0;
--- a/gateway/src/main/java/org/bambooarch/gateway/request/ProxyService.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/ProxyService.java
@@ -117,6 +117,9 @@
     if (route.isEmpty()) {
       return refuseByConfiguration(request, clientHeaders, config, RequestOutcome.NO_ROUTE, 404);
     }
+    if (!context.state().acceptsRequestOf(clientHeaders.timeoutMillisOn(route.get()))) {
+      return refuse(request, clientHeaders, RequestOutcome.STOPPING, 503, STOPPING_RETRY_MILLIS);
+    }
     Optional<CustomerPolicy> customer =
         clientHeaders.apiKey().flatMap(key -> config.customerOfKey(KeyDigest.of(key)));
     boolean requiresKey = config.requiresKeys() && !route.get().openToAll();
--- a/gateway/src/test/java/org/bambooarch/gateway/bodypath/BodyPathWorld.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/bodypath/BodyPathWorld.java
@@ -431,10 +431,19 @@
 
   /** Lets the instance hear of another one that has this version of the configuration. */
   void hearOfConfiguration(long version) {
+    hear(true, version);
+  }
+
+  /** Lets the instance hear of another one of its region that is starting. */
+  void hearOfStartingInstance() {
+    hear(false, 0);
+  }
+
+  private void hear(boolean takesCallers, long version) {
     state.onHeartbeat(
         new Heartbeat(
             new InstanceIdentity("entry-3", 1, "north", "north-a", "b:1", "b:2"),
-            true,
+            takesCallers,
             0,
             false,
             version,
--- a/gateway/src/test/java/org/bambooarch/gateway/control/StopScheduleTest.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/control/StopScheduleTest.java
@@ -42,6 +42,22 @@
     assertThat(withGrace(graceMillis).lastAcceptNanos()).isEqualTo(after(lastMillis));
   }
 
+  // Regression: the last instance of a region, on a busy machine, ended with requests in flight
+  // whose deadline was just before its end.
+  @ParameterizedTest
+  @CsvSource({
+    "2799, 60000, true",
+    "2800, 5250, true",
+    "2800, 5251, false",
+    "4000, 5250, true",
+    "4000, 5251, false"
+  })
+  void should_accept_late_only_requests_that_are_over_well_before_the_end(
+      long elapsedMillis, long deadlineMillis, boolean accepted) {
+    assertThat(withGrace(6_000).accepts(after(deadlineMillis), after(elapsedMillis)))
+        .isEqualTo(accepted);
+  }
+
   @ParameterizedTest
   @CsvSource({"6000, 5749, false", "6000, 5750, true", "200, 0, true"})
   void should_end_before_the_grace_period_does(
