--- a/gateway/src/main/java/org/bambooarch/gateway/control/StopSchedule.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/StopSchedule.java
@@ -51,14 +51,6 @@
     return nowNanos - acceptUntilNanos < 0;
   }
 
-  /**
-   * Returns the monotonic time, in nanoseconds, from which new requests are refused if this is the
-   * last instance of its region.
-   */
-  public long lastAcceptNanos() {
-    return Math.max(acceptUntilNanos, endNanos - LAST_ACCEPT_MARGIN_MILLIS * NANOS_PER_MILLI);
-  }
-
   /**
    * Returns whether a new request may be accepted at the given monotonic time: after {@code
    * acceptUntilNanos}, only if it is over well before the end whatever its server does, so that it
@@ -70,6 +62,14 @@
     return accepts(nowNanos) || deadlineNanos - lastAcceptNanos() <= 0;
   }
 
+  /**
+   * Returns the monotonic time, in nanoseconds, from which new requests are refused if this is the
+   * last instance of its region.
+   */
+  public long lastAcceptNanos() {
+    return Math.max(acceptUntilNanos, endNanos - LAST_ACCEPT_MARGIN_MILLIS * NANOS_PER_MILLI);
+  }
+
   /** Returns whether the process must have ended at the given monotonic time. */
   public boolean hasEnded(long nowNanos) {
     return nowNanos - endNanos >= 0;
