--- a/soak/src/main/java/org/bambooarch/soak/RequestMix.java
+++ b/soak/src/main/java/org/bambooarch/soak/ClientRequestMix.java
@@ -4,7 +4,7 @@
 import java.util.Random;
 
 /** The requests of one client, all of one customer to one host. */
-final class RequestMix {
+final class ClientRequestMix {
 
   /** Share of the clients whose host has routes with homes only. */
   private static final double HOMED_CLIENTS_SHARE = 0.5;
@@ -41,7 +41,7 @@
   private final String host;
   private final Random random;
 
-  private RequestMix(String host, Random random) {
+  private ClientRequestMix(String host, Random random) {
     this.host = host;
     this.random = random;
     customer =
@@ -51,9 +51,9 @@
   }
 
   /** Returns the requests of a client of a region, with a host that is drawn for it. */
-  static RequestMix of(String region, Random random) {
+  static ClientRequestMix of(String region, Random random) {
     if (random.nextDouble() >= HOMED_CLIENTS_SHARE) {
-      return new RequestMix(PlayedDeployment.HOST, random);
+      return new ClientRequestMix(PlayedDeployment.HOST, random);
     }
     boolean own = random.nextDouble() < OWN_REGION_SHARE;
     List<String> hosts =
@@ -63,7 +63,7 @@
             .map(PlayedDeployment.HomedRoute::host)
             .distinct()
             .toList();
-    return new RequestMix(hosts.get(random.nextInt(hosts.size())), random);
+    return new ClientRequestMix(hosts.get(random.nextInt(hosts.size())), random);
   }
 
   String host() {
--- a/soak/src/main/java/org/bambooarch/soak/ClientWorker.java
+++ b/soak/src/main/java/org/bambooarch/soak/ClientWorker.java
@@ -46,7 +46,7 @@
 
   private final Environment environment;
   private final Random random;
-  private final RequestMix mix;
+  private final ClientRequestMix mix;
   private final InstanceChoice choice;
   private CallerConnection connection;
   private InstanceGroup.Instance instance;
@@ -55,7 +55,7 @@
   ClientWorker(Environment environment, String zone, long seed) {
     this.environment = environment;
     random = new Random(seed);
-    mix = RequestMix.of(PlayedDeployment.regionOf(zone), random);
+    mix = ClientRequestMix.of(PlayedDeployment.regionOf(zone), random);
     LookupClient lookups =
         new LookupClient(environment.instances(), environment.journal(), mix.host(), zone, random);
     choice = new InstanceChoice(environment.instances(), lookups, random);
@@ -83,7 +83,7 @@
   }
 
   private void request() throws InterruptedException {
-    RequestMix.Request request = mix.next(random.nextDouble() < UNSAFE_SHARE);
+    ClientRequestMix.Request request = mix.next(random.nextDouble() < UNSAFE_SHARE);
     String id = nextId();
     for (int attempt = 1; attempt <= MAX_ATTEMPTS; attempt++) {
       if (attempt > 1) {
@@ -102,7 +102,7 @@
    * Returns the answer, or null if the client got no connection or has left; one that keeps its ids
    * may try again after it has left.
    */
-  private ClientAnswer attempt(RequestMix.Request request, String id, int attempt) {
+  private ClientAnswer attempt(ClientRequestMix.Request request, String id, int attempt) {
     try {
       open();
       CallerConnection.Sent sent =
@@ -127,7 +127,7 @@
     }
   }
 
-  private void noteHomed(RequestMix.Request request, CallerConnection.Sent sent) {
+  private void noteHomed(ClientRequestMix.Request request, CallerConnection.Sent sent) {
     if (request.homed()) {
       environment
           .journal()
@@ -157,7 +157,7 @@
     try {
       open();
       List<CallerConnection.Sent> sent = new ArrayList<>();
-      RequestMix.Request request = mix.next(false);
+      ClientRequestMix.Request request = mix.next(false);
       for (int i = 0; i < requests; i++) {
         String id = nextId();
         sent.add(connection.send(id, 1, true, bytes(request, id, 1)));
@@ -185,7 +185,7 @@
     return answer.repeatable() && failed;
   }
 
-  private static byte[] bytes(RequestMix.Request request, String id, int attempt) {
+  private static byte[] bytes(ClientRequestMix.Request request, String id, int attempt) {
     String head =
         """
         %s %s HTTP/1.1
--- a/soak/src/main/java/org/bambooarch/soak/LookupClient.java
+++ b/soak/src/main/java/org/bambooarch/soak/LookupClient.java
@@ -25,7 +25,7 @@
   private static final long TRY_TIMEOUT_MILLIS = 1_000;
 
   /** A look-up that was answered. */
-  record Answered(Lookup lookup, DirectoryAnswer answer) {}
+  record Answered(Lookup lookup, LookupResponse answer) {}
 
   private final InstanceGroup instances;
   private final Journal journal;
@@ -52,7 +52,7 @@
     for (InstanceGroup.Instance instance : nearestFirst().subList(0, maxTries())) {
       InstanceGroup.State state = instance.state();
       try {
-        DirectoryAnswer answer = call(instance);
+        LookupResponse answer = call(instance);
         tries.add(new Lookup.Try(instance.name(), state, true));
         Lookup lookup =
             new Lookup(host, clientRegion(), tries, regions(answer.addresses()), askedNanos);
@@ -87,7 +87,7 @@
         .collect(Collectors.toUnmodifiableSet());
   }
 
-  private DirectoryAnswer call(InstanceGroup.Instance instance) throws IOException {
+  private LookupResponse call(InstanceGroup.Instance instance) throws IOException {
     long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TRY_TIMEOUT_MILLIS);
     try (Socket socket = new Socket()) {
       socket.connect(instance.directory(), (int) TRY_TIMEOUT_MILLIS);
@@ -105,7 +105,7 @@
       }
       ByteArrayOutputStream body = new ByteArrayOutputStream();
       reader.readBody(head, true, body);
-      return DirectoryAnswer.parse(body.toString(StandardCharsets.UTF_8));
+      return LookupResponse.parse(body.toString(StandardCharsets.UTF_8));
     }
   }
 }
--- a/soak/src/main/java/org/bambooarch/soak/DirectoryAnswer.java
+++ b/soak/src/main/java/org/bambooarch/soak/LookupResponse.java
@@ -13,7 +13,7 @@
  * @param addresses front addresses, at least one
  * @param ttlMillis time for which clients keep the answer
  */
-record DirectoryAnswer(List<String> addresses, long ttlMillis) {
+record LookupResponse(List<String> addresses, long ttlMillis) {
 
   /** The bound {@code ttl_max} in the instances' settings. */
   static final long MAX_TTL_MILLIS = 5_000;
@@ -23,7 +23,7 @@
   private static final Pattern TTL = Pattern.compile("\"ttl\"\\s*:\\s*\"(\\d+)(ms|s)\"");
 
   /** Reads the body of an answer; one without addresses or without a time is no answer. */
-  static DirectoryAnswer parse(String body) throws IOException {
+  static LookupResponse parse(String body) throws IOException {
     Matcher addresses = ADDRESSES.matcher(body);
     Matcher ttl = TTL.matcher(body);
     if (!addresses.find() || !ttl.find()) {
@@ -36,6 +36,6 @@
     }
     long value = Long.parseLong(ttl.group(1));
     long millis = ttl.group(2).equals("s") ? TimeUnit.SECONDS.toMillis(value) : value;
-    return new DirectoryAnswer(names, Math.min(millis, MAX_TTL_MILLIS));
+    return new LookupResponse(names, Math.min(millis, MAX_TTL_MILLIS));
   }
 }
