--- a/core/src/main/java/org/bambooarch/core/steering/fleet/FleetTable.java
+++ b/core/src/main/java/org/bambooarch/core/steering/fleet/FleetTable.java
@@ -271,12 +271,11 @@
   }
 
   /**
-   * Returns whether this instance has run for long enough to take instances that are not live for
-   * such that do not run: the list of instances was read, and since then each listed one was heard
-   * and another {@link #MISSED_HEARTBEAT_NANOS} for those that are not listed, or {@link
-   * #LIVENESS_TIMEOUT_NANOS} have passed. Instances that are stopping are not listed but may still
-   * accept requests, and those that start at the same moment may not be listed yet. A list without
-   * other instances does not count before the longer time.
+   * Returns whether instances that are not live can be taken for such that do not run. That holds
+   * {@link #LIVENESS_TIMEOUT_NANOS} after the list of instances was read, or {@link
+   * #MISSED_HEARTBEAT_NANOS} after it if each listed instance was heard: one that is stopping is
+   * not listed any more but may accept requests, and one that has just started is not listed yet.
+   * If no other instance is listed, all may be starting, so that the longer time counts.
    */
   public boolean knowsWhichAreLive(long nowNanos) {
     if (!listRead) {
--- a/core/src/main/java/org/bambooarch/core/steering/fleet/InstanceDirectory.java
+++ b/core/src/main/java/org/bambooarch/core/steering/fleet/InstanceDirectory.java
@@ -88,7 +88,10 @@
         .orElse(NO_ANSWER);
   }
 
-  /** An instance elsewhere serves requests of any length, a stopping one short ones only. */
+  /**
+   * Returns the answer if the caller's region has no ready instance. An instance elsewhere serves
+   * all requests, a stopping one only those that are over before its end.
+   */
   private static Optional<DirectoryAnswer> withoutReadyInRegion(
       HomeRegions elsewhere,
       Optional<DirectoryAnswer> readyElsewhere,
--- a/core/src/main/java/org/bambooarch/core/steering/fleet/StopOrder.java
+++ b/core/src/main/java/org/bambooarch/core/steering/fleet/StopOrder.java
@@ -1,7 +1,7 @@
 package org.bambooarch.core.steering.fleet;
 
 /**
- * Decides which of the stopping instances of a region leaves last.
+ * Decides which of the stopping instances of a region is the last to refuse requests.
  *
  * <p>Instances that are restarted in turn can all be stopping or starting at the same moment. The
  * one whose stop began last then accepts requests until another instance of the region is ready
