Refuse requests while the store has long told others of another configuration

Cause: an instance that learns from heartbeats that the store has confirmed other content to others went on by its own, however long that lasted. Only requests that its configuration does not permit, or with homes, were refused.

While the store responds to nobody no instance gets further behind, so an outage stops no request; and after a return from an older copy times of two eras are not compared.

ListAgeRun judges no instance that refuses.

--- a/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
@@ -61,6 +61,13 @@
    */
   private static final long MAX_CONFIRMED_AGE_MILLIS = 1_000;
 
+  /**
+   * Part of the age at which the operators' list may be used from which on an instance uses it no
+   * longer, if the store has told others of a newer one. Their confirmations are known by up to
+   * another third later.
+   */
+  private static final double OVERDUE_FRACTION = 0.6;
+
   /** Delay of a tick from which on the event loop counts as late, in nanoseconds: 20 ms. */
   private static final long LATE_NANOS = 20_000_000L;
 
@@ -83,6 +90,7 @@
   private final LimitShares limitShares;
   private final CustomerRateLimiter rateLimiter;
   private final ListProgress listProgress;
+  private final long maxOverdueMillis;
   private final CrashHistory crashes = new CrashHistory();
   private final ServiceRetryBudgets retries;
   private final SmoothWeightedRoundRobin roundRobin = new SmoothWeightedRoundRobin();
@@ -119,6 +127,7 @@
             settings.retryRatio(), settings.retrySlack() * RETRY_SLACK_FRACTION / typicalInstances);
     this.lastTickNanos = clock.monotonicNanos();
     this.listProgress = new ListProgress(lastTickNanos);
+    this.maxOverdueMillis = (long) (settings.listAgeBounds().operatorsMillis() * OVERDUE_FRACTION);
   }
 
   /**
@@ -364,6 +373,14 @@
     return hasMissedConfiguration() && missedNanos > MAX_CONFIRMED_AGE_MILLIS * NANOS_PER_MILLI;
   }
 
+  /**
+   * Returns whether the store has told others of a newer configuration so long ago that requests
+   * must not be handled by the one in force here. False while the store responds to nobody.
+   */
+  public boolean isConfigurationOverdue() {
+    return listProgress.overdueMillis(Topic.OPERATOR) > maxOverdueMillis;
+  }
+
   private void onNewestConfigurationUnknown(String reason) {
     newestConfigurationUnknown = true;
     Logger.warn(
--- a/gateway/src/main/java/org/bambooarch/gateway/control/ListProgress.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ListProgress.java
@@ -29,6 +29,7 @@
     private long confirmedNanos;
     private long confirmedDigest;
     private long confirmedStoreMillis;
+    private long confirmedToOthersStoreMillis;
     private boolean behind;
     private long behindSinceNanos;
     private boolean confirmedForOthers;
@@ -95,6 +96,7 @@
     progress.readUpTo = 0;
     progress.newestChange = 0;
     progress.confirmedStoreMillis = 0;
+    progress.confirmedToOthersStoreMillis = 0;
   }
 
   private void confirm(
@@ -127,6 +129,8 @@
     progress.newestChangeOfOthers = Math.max(progress.newestChangeOfOthers, other.newestChange());
     if (eraOfOthers == era && other.isConfirmed()) {
       storeClock.onReport(other.confirmedStoreMillis(), nowNanos);
+      progress.confirmedToOthersStoreMillis =
+          Math.max(progress.confirmedToOthersStoreMillis, other.confirmedStoreMillis());
       boolean sameContent = progress.readUpTo > 0 && other.digest() == progress.digest.value();
       OptionalLong asOfNanos = storeClock.toMonotonicNanos(other.confirmedStoreMillis());
       if (sameContent && asOfNanos.isPresent()) {
@@ -185,6 +189,18 @@
     return progresses.get(topic).confirmedStoreMillis;
   }
 
+  /**
+   * Returns by how much the store's last confirmation of other content to another instance is later
+   * than that of this instance's content, by the store's clock, in milliseconds; 0 if it is not.
+   */
+  long overdueMillis(Topic topic) {
+    Progress progress = progresses.get(topic);
+    boolean comparable = eraOfOthers == era && progress.confirmedStoreMillis > 0;
+    return comparable
+        ? Math.max(0, progress.confirmedToOthersStoreMillis - progress.confirmedStoreMillis)
+        : 0;
+  }
+
   /** Returns what an instance reports of one of the lists that are watched. */
   static ListStatus statusOf(Topic topic, ListVersions reported) {
     return topic == Topic.OPERATOR ? reported.operators() : reported.servers();
--- a/gateway/src/main/java/org/bambooarch/gateway/request/ProxyService.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/request/ProxyService.java
@@ -98,6 +98,15 @@
           503,
           noConfigurationRetryMillis(clientHeaders));
     }
+    if (state.isConfigurationOverdue()) {
+      return refuse(
+          request,
+          clientHeaders,
+          RequestOutcome.CONFIGURATION_OUTDATED,
+          503,
+          noConfigurationRetryMillis(clientHeaders),
+          configurationAge());
+    }
     return admit(armeriaContext, request, clientHeaders, config.get());
   }
 
--- a/gateway/src/test/java/org/bambooarch/gateway/control/ListAgeRun.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/control/ListAgeRun.java
@@ -164,6 +164,10 @@
     }
 
     private void checkConfiguration() {
+      if (state.isConfigurationOverdue()) {
+        // It refuses requests.
+        return;
+      }
       long known = state.config().orElseThrow().version();
       Map.Entry<Long, Long> missed = configurationAckMillis.higherEntry(known);
       if (missed == null) {
--- a/gateway/src/test/java/org/bambooarch/gateway/control/ListProgressTest.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/control/ListProgressTest.java
@@ -110,4 +110,64 @@
     read(progress, 8, 4_100, new ControlChange.ServerRemoved("a"));
     assertThat(progress.confirmedForOthersNanos(Topic.SERVERS)).isEmpty();
   }
+
+  // Incident CONFIG after a silence: an instance went on by a list although the store had told
+  // others of a newer one seconds before.
+  @Test
+  void should_be_overdue_by_the_time_since_which_the_store_confirms_other_content_to_others() {
+    read(progress, 7, 0, listed("a", false, 0));
+    read(other, 7, 0, listed("a", false, 0));
+    read(other, 8, 500, listed("a", true, 0));
+    hearAt(600);
+    read(other, 8, 1_900);
+    hearAt(2_000);
+
+    assertThat(progress.overdueMillis(Topic.SERVERS)).isEqualTo(1_900);
+  }
+
+  @Test
+  void should_not_be_overdue_when_the_store_confirms_the_same_content_to_others() {
+    read(progress, 7, 0, listed("a", false, 0));
+    read(other, 7, 0, listed("a", false, 0));
+    read(other, 9, 1_900);
+    hearAt(2_000);
+
+    assertThat(progress.overdueMillis(Topic.SERVERS)).isZero();
+  }
+
+  // An outage of the store must not stop requests at the instances that a change has not reached.
+  @Test
+  void should_not_become_more_overdue_while_the_store_responds_to_nobody() {
+    read(progress, 7, 0, listed("a", false, 0));
+    read(other, 7, 0, listed("a", false, 0));
+    read(other, 8, 500, listed("a", true, 0));
+    hearAt(600);
+    hearAt(9_000);
+
+    assertThat(progress.overdueMillis(Topic.SERVERS)).isEqualTo(500);
+  }
+
+  @Test
+  void should_no_longer_be_overdue_when_it_has_read_the_list() {
+    read(progress, 7, 0, listed("a", false, 0));
+    read(other, 8, 1_900, listed("a", true, 0));
+    hearAt(2_000);
+    read(progress, 8, 2_100, listed("a", true, 0));
+
+    assertThat(progress.overdueMillis(Topic.SERVERS)).isZero();
+  }
+
+  // Times of the store before and after its return from an older copy cannot be compared.
+  @Test
+  void should_not_be_overdue_when_the_others_know_another_era_of_the_store() {
+    read(progress, 7, 0, listed("a", false, 0));
+    other.onRead(
+        Topic.SERVERS,
+        new ControlUpdate(1, 3, 3, STORE_START_MILLIS + 1_900, List.of()),
+        1_900 * MILLI,
+        1_900 * MILLI);
+    hearAt(2_000);
+
+    assertThat(progress.overdueMillis(Topic.SERVERS)).isZero();
+  }
 }
