--- a/gateway/src/test/java/org/bambooarch/gateway/control/ListAgeRun.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/control/ListAgeRun.java
@@ -83,7 +83,7 @@
 
     Instance(int number) {
       this.name = "entry-" + number;
-      this.client = store.connect(1 + random.nextLong(60));
+      this.client = store.connect(name, 1 + random.nextLong(60));
       this.phaseMillis = random.nextLong(ControlState.TICK_MILLIS / STEP_MILLIS) * STEP_MILLIS;
       start();
     }
@@ -164,6 +164,10 @@
     }
 
     private void checkConfiguration() {
+      if (state.isConfigurationOverdue()) {
+        // It refuses requests.
+        return;
+      }
       long known = state.config().orElseThrow().version();
       Map.Entry<Long, Long> missed = configurationAckMillis.higherEntry(known);
       if (missed == null) {
