Run each part of the periodic update even if another one fails

Not reproduced there.

Cause, found by reading: the update of the state, the calls to the store, the probes and the heartbeats shared one block, so an exception in the first, thrown at each update, kept all others from running.

--- a/gateway/src/main/java/org/bambooarch/gateway/Gateway.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/Gateway.java
@@ -294,7 +294,10 @@
     serveMetrics();
     loop.execute(storeSynchronizer::start);
     loop.scheduleWithFixedDelay(
-        this::tick, ControlState.TICK_MILLIS, ControlState.TICK_MILLIS, TimeUnit.MILLISECONDS);
+        periodicUpdate(),
+        ControlState.TICK_MILLIS,
+        ControlState.TICK_MILLIS,
+        TimeUnit.MILLISECONDS);
     Logger.info(
         "event=started instance={} incarnation={} data-centre={} callers={}",
         settings.identity().name(),
@@ -359,21 +362,25 @@
     return server.activePorts().values().iterator().next().localAddress();
   }
 
-  private void tick() {
-    try {
-      state.tick();
-      storeSynchronizer.tick();
-      requestLog.tick();
-      targetClient.retainOnly(state.servers());
-      partitionMonitor.tick().forEach(targetClient::probe);
-      long nowNanos = clock.monotonicNanos();
-      if (nowNanos - lastHeartbeatNanos >= FleetTable.HEARTBEAT_NANOS) {
-        sendHeartbeats(nowNanos);
-      }
-    } catch (RuntimeException e) {
-      // An exception from a fixed-delay task would cancel all its further runs.
-      Logger.error(
-          e, "event=tick-failed reason=\"periodic update failed, continuing with the next\"");
+  private PeriodicUpdate periodicUpdate() {
+    return new PeriodicUpdate(
+        List.of(
+            new PeriodicUpdate.Part("state", state::tick),
+            new PeriodicUpdate.Part("lists", storeSynchronizer::tick),
+            new PeriodicUpdate.Part("log", requestLog::tick),
+            new PeriodicUpdate.Part("servers", this::updateServers),
+            new PeriodicUpdate.Part("heartbeats", this::sendDueHeartbeats)));
+  }
+
+  private void updateServers() {
+    targetClient.retainOnly(state.servers());
+    partitionMonitor.tick().forEach(targetClient::probe);
+  }
+
+  private void sendDueHeartbeats() {
+    long nowNanos = clock.monotonicNanos();
+    if (nowNanos - lastHeartbeatNanos >= FleetTable.HEARTBEAT_NANOS) {
+      sendHeartbeats(nowNanos);
     }
   }
 
