--- a/gateway/src/main/java/org/bambooarch/gateway/control/ListWatcher.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ListWatcher.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.random.RandomGenerator;
 import org.bambooarch.gateway.ListAgeBounds;
 import org.bambooarch.gateway.spi.ControlStore;
@@ -221,7 +222,7 @@
     Call call = new Call(!loaded, 0, false, nowNanos());
     nextCallNanos = call.askedNanos() + patienceMillis() * 1_000_000L;
     callsInProgress++;
-    make(call, store).whenCompleteAsync((update, failure) -> onAnswer(call, update, failure), loop);
+    onCompletion(make(call, store), (update, failure) -> onAnswer(call, update, failure));
   }
 
   private CompletableFuture<ControlUpdate> make(Call call, ControlStore target) {
@@ -231,8 +232,30 @@
   private void askIndirectly(ControlStore throughOther) {
     Call call = new Call(!loaded, 0, true, nowNanos());
     indirectCallsInProgress++;
-    make(call, throughOther)
-        .whenCompleteAsync((update, failure) -> onIndirectAnswer(call, update, failure), loop);
+    onCompletion(
+        make(call, throughOther), (update, failure) -> onIndirectAnswer(call, update, failure));
+  }
+
+  /** Runs a handler on the event loop; a failure in it would otherwise leave no trace. */
+  private void onCompletion(
+      CompletableFuture<ControlUpdate> response, BiConsumer<ControlUpdate, Throwable> handler) {
+    response
+        .handleAsync(
+            (update, failure) -> {
+              handler.accept(update, failure);
+              return update;
+            },
+            loop)
+        .whenComplete(
+            (update, failure) -> {
+              if (failure != null) {
+                Logger.error(
+                    rootOf(failure),
+                    "event=response-not-handled list={} version={} reason=\"asking again later\"",
+                    topic,
+                    version);
+              }
+            });
   }
 
   private void onIndirectAnswer(Call call, ControlUpdate update, Throwable failure) {
@@ -282,9 +305,9 @@
     long number = ++watchNumber;
     long waitMillis = MIN_WATCH_MILLIS + random.nextLong(MAX_WATCH_MILLIS - MIN_WATCH_MILLIS + 1);
     Call call = new Call(false, waitMillis, false, nowNanos());
-    store
-        .watch(topic, version, waitMillis)
-        .whenCompleteAsync((update, failure) -> onWatchEnd(number, call, update, failure), loop);
+    onCompletion(
+        store.watch(topic, version, waitMillis),
+        (update, failure) -> onWatchEnd(number, call, update, failure));
   }
 
   private void onWatchEnd(long number, Call call, ControlUpdate update, Throwable failure) {
