Take a response for unreadable if its status is none of HTTP

Cause: Netty's decoder reads the status as a number and takes any.

Change: the decoder of server connections fails unless the status is three digits from 100 to 599. As with any bytes that are no response, the connection is closed and the client gets 502. Responses over another instance come through the same decoder.

--- a/gateway/src/main/java/org/bambooarch/gateway/target/ResponseDecoder.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/target/ResponseDecoder.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.ByteProcessor;
+import java.util.regex.Pattern;
 
 /**
  * Decodes the responses of one server connection, which has one request at a time.
@@ -17,6 +18,8 @@
   private static final int MAX_HEADER_BYTES = 64 * 1024;
   private static final int MAX_CHUNK_BYTES = 64 * 1024;
 
+  private static final Pattern STATUS = Pattern.compile("[1-5]\\d\\d");
+
   private boolean headRequest;
 
   ResponseDecoder() {
@@ -37,6 +40,15 @@
         && internalBuffer().forEachByte(ByteProcessor.FIND_NON_CRLF) >= 0;
   }
 
+  /** Fails for a status that is not three digits from 100 to 599, which clients can't interpret. */
+  @Override
+  protected HttpMessage createMessage(String[] initialLine) {
+    if (!STATUS.matcher(initialLine[1]).matches()) {
+      throw new IllegalArgumentException("expected a status of HTTP but found " + initialLine[1]);
+    }
+    return super.createMessage(initialLine);
+  }
+
   @Override
   protected boolean isContentAlwaysEmpty(HttpMessage message) {
     return headRequest || super.isContentAlwaysEmpty(message);
