Take a response to the product's own interface for invalid if its status is none of HTTP

A status of more digits, such as 0200, has become 200 before the product sees it there; that is not mended.

--- a/entry/src/main/java/org/bambooarch/entry/request/target/TargetExchange.java
+++ b/entry/src/main/java/org/bambooarch/entry/request/target/TargetExchange.java
@@ -31,6 +31,8 @@
  */
 public final class TargetExchange {
 
+  private static final int MIN_STATUS = 100;
+  private static final int MAX_STATUS = 599;
   private static final long MILLIS_PER_SECOND = 1_000;
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
@@ -77,8 +79,9 @@
     try {
       ResponseHeaders headers = await(split.headers(), deadlineNanos);
       ResponseCheck check = ResponseCheck.forRequest(request.requestId());
-      if (check.onHeaders(headers.get(HeaderRules.REQUEST_ID, ""), OptionalLong.empty())
-          != ResponseCheck.Result.VALID) {
+      if (!hasStatusOfHttp(headers)
+          || check.onHeaders(headers.get(HeaderRules.REQUEST_ID, ""), OptionalLong.empty())
+              != ResponseCheck.Result.VALID) {
         response.abort();
         return new Result.Failed(new AttemptOutcome.InvalidResponse(0));
       }
@@ -106,7 +109,7 @@
           aggregated.headers().get(HeaderRules.REQUEST_ID, ""),
           declaredLength(aggregated.headers()));
       check.onData(aggregated.content().length());
-      if (check.onEnd() != ResponseCheck.Result.VALID) {
+      if (!hasStatusOfHttp(aggregated.headers()) || check.onEnd() != ResponseCheck.Result.VALID) {
         return new Result.Failed(new AttemptOutcome.InvalidResponse(0));
       }
       if (isShed(aggregated.headers(), request.isIdempotent())) {
@@ -121,6 +124,12 @@
     }
   }
 
+  /** Returns whether callers can interpret the status; the library takes any number for one. */
+  private static boolean hasStatusOfHttp(ResponseHeaders headers) {
+    int status = headers.status().code();
+    return status >= MIN_STATUS && status <= MAX_STATUS;
+  }
+
   /** Returns the body length that the headers declare, in bytes; empty if they declare none. */
   public static OptionalLong declaredLength(ResponseHeaders headers) {
     long length = headers.contentLength();
--- a/entry/src/test/java/org/bambooarch/entry/request/TargetJoinedAnswerTest.java
+++ b/entry/src/test/java/org/bambooarch/entry/request/TargetJoinedAnswerTest.java
@@ -29,7 +29,7 @@
 @Timeout(value = 30, unit = TimeUnit.SECONDS)
 class TargetJoinedAnswerTest {
 
-  private static CallerRequest request(String id, long deadlineNanos) {
+  static CallerRequest request(String id, long deadlineNanos) {
     Route route =
         new Route("orders", "GET", "/orders", true, PriorityClass.COUNTER, 1_000, 5_000, false);
     return new CallerRequest(
@@ -50,7 +50,7 @@
         .formatted(status, HeaderRules.REQUEST_ID, id, body.length(), body);
   }
 
-  private static void readHead(BufferedReader in) throws IOException {
+  static void readHead(BufferedReader in) throws IOException {
     String line = in.readLine();
     while (line != null && !line.isEmpty()) {
       line = in.readLine();
