Count an overdue configuration from when others learned of the next one

What callers would see: after an outage of the store, all instances but the first one to read a change refuse requests until they read it too, although it was acknowledged a moment before.

Cause: the time between the confirmations of two instances includes the outage, in which nothing was acknowledged.

Change: an instance is overdue by the time between the first and the last confirmation of other content to others, 0.6 of the bound at most. A late response that confirms an earlier state does not hide that. Instances whose builds hash the list differently confirm their own content more often.

--- a/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
@@ -62,9 +62,10 @@
   private static final long MAX_CONFIRMED_AGE_MILLIS = 1_000;
 
   /**
-   * Part of the age at which the operators' list may be used from which on an instance uses it no
-   * longer, if the store has told others of a newer one. Their confirmations are known by up to
-   * another third later.
+   * Time for which the store has told others of a newer configuration after which the one in force
+   * here is used no longer, as a part of the longest age of the operators' list. It exceeds the
+   * time between two confirmations of an instance that asks for itself, so that instances of builds
+   * that hash the list differently do not refuse requests.
    */
   private static final double OVERDUE_FRACTION = 0.6;
 
@@ -374,8 +375,9 @@
   }
 
   /**
-   * Returns whether the store has told others of a newer configuration so long ago that requests
-   * must not be handled by the one in force here. False while the store responds to nobody.
+   * Returns whether the store has told others of a newer configuration for so long that requests
+   * must not be handled by the one in force here. Does not become true while the store responds to
+   * nobody.
    */
   public boolean isConfigurationOverdue() {
     return listProgress.overdueMillis(Topic.OPERATOR) > maxOverdueMillis;
--- a/gateway/src/main/java/org/bambooarch/gateway/control/ListProgress.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ListProgress.java
@@ -29,7 +29,8 @@
     private long confirmedNanos;
     private long confirmedDigest;
     private long confirmedStoreMillis;
-    private long confirmedToOthersStoreMillis;
+    private long othersDifferSinceStoreMillis;
+    private long othersDifferUntilStoreMillis;
     private boolean behind;
     private long behindSinceNanos;
     private boolean confirmedForOthers;
@@ -96,7 +97,12 @@
     progress.readUpTo = 0;
     progress.newestChange = 0;
     progress.confirmedStoreMillis = 0;
-    progress.confirmedToOthersStoreMillis = 0;
+    forgetOthersContent(progress);
+  }
+
+  private static void forgetOthersContent(Progress progress) {
+    progress.othersDifferSinceStoreMillis = 0;
+    progress.othersDifferUntilStoreMillis = 0;
   }
 
   private void confirm(
@@ -110,6 +116,9 @@
     progress.confirmedDigest = progress.digest.value();
     progress.confirmedStoreMillis =
         sameContent ? Math.max(progress.confirmedStoreMillis, storeMillis) : storeMillis;
+    if (progress.confirmedStoreMillis >= progress.othersDifferSinceStoreMillis) {
+      forgetOthersContent(progress);
+    }
   }
 
   /** Records what another instance reports. */
@@ -129,14 +138,15 @@
     progress.newestChangeOfOthers = Math.max(progress.newestChangeOfOthers, other.newestChange());
     if (eraOfOthers == era && other.isConfirmed()) {
       storeClock.onReport(other.confirmedStoreMillis(), nowNanos);
-      progress.confirmedToOthersStoreMillis =
-          Math.max(progress.confirmedToOthersStoreMillis, other.confirmedStoreMillis());
       boolean sameContent = progress.readUpTo > 0 && other.digest() == progress.digest.value();
       OptionalLong asOfNanos = storeClock.toMonotonicNanos(other.confirmedStoreMillis());
       if (sameContent && asOfNanos.isPresent()) {
         confirm(progress, other.confirmedStoreMillis(), progress.confirmedNanos, nowNanos);
       }
       boolean newer = other.confirmedStoreMillis() > progress.confirmedStoreMillis;
+      if (newer && !sameContent) {
+        onOtherContent(progress, other.confirmedStoreMillis());
+      }
       if (newer && asOfNanos.isPresent() && !progress.confirmedForOthers) {
         progress.confirmedForOthers = true;
         progress.confirmedForOthersNanos = Math.min(asOfNanos.getAsLong(), nowNanos);
@@ -145,6 +155,14 @@
     updateBehind(progress, nowNanos);
   }
 
+  private static void onOtherContent(Progress progress, long confirmedStoreMillis) {
+    if (progress.othersDifferSinceStoreMillis == 0) {
+      progress.othersDifferSinceStoreMillis = confirmedStoreMillis;
+    }
+    progress.othersDifferUntilStoreMillis =
+        Math.max(progress.othersDifferUntilStoreMillis, confirmedStoreMillis);
+  }
+
   private void updateBehind(Progress progress, long nowNanos) {
     boolean behind =
         eraOfOthers == era ? progress.newestChangeOfOthers > progress.readUpTo : eraOfOthers > era;
@@ -190,14 +208,15 @@
   }
 
   /**
-   * Returns by how much the store's last confirmation of other content to another instance is later
-   * than that of this instance's content, by the store's clock, in milliseconds; 0 if it is not.
+   * Returns for how long the store has confirmed other content to others without this instance
+   * having learned of it, from the first such confirmation to the last, by the store's clock, in
+   * milliseconds.
    */
   long overdueMillis(Topic topic) {
     Progress progress = progresses.get(topic);
     boolean comparable = eraOfOthers == era && progress.confirmedStoreMillis > 0;
     return comparable
-        ? Math.max(0, progress.confirmedToOthersStoreMillis - progress.confirmedStoreMillis)
+        ? progress.othersDifferUntilStoreMillis - progress.othersDifferSinceStoreMillis
         : 0;
   }
 
