Keep what calls tell of the store, and the calls of a list, in types of their own

StoreReachability knows whether the store responds to this instance and how long to wait for it, ListCall what a call asks for.

--- a/gateway/src/main/java/org/bambooarch/gateway/control/ListProgress.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ListProgress.java
@@ -227,10 +227,10 @@
 
   /** Returns what this instance reports to the others. */
   ListVersions own() {
-    return new ListVersions(era, statusOf(Topic.OPERATOR), statusOf(Topic.SERVERS));
+    return new ListVersions(era, ownStatus(Topic.OPERATOR), ownStatus(Topic.SERVERS));
   }
 
-  private ListStatus statusOf(Topic topic) {
+  private ListStatus ownStatus(Topic topic) {
     Progress progress = progresses.get(topic);
     return new ListStatus(
         progress.newestChange, progress.digest.value(), progress.confirmedStoreMillis);
--- a/gateway/src/main/java/org/bambooarch/gateway/control/ListWatcher.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ListWatcher.java
@@ -44,22 +44,6 @@
    */
   private static final long BATCH_DELAY_MILLIS = 200;
 
-  /** Time for which a call that does not wait is given before a further one is made. */
-  private static final long PATIENCE_MILLIS = 200;
-
-  /**
-   * Shortest time between two calls while the store is unreachable. Short because an instance that
-   * was cut off from the store must learn of servers that have left within seconds after the
-   * connection is restored.
-   */
-  private static final long MIN_RETRY_MILLIS = 400;
-
-  /** Longest time between two calls while the store is unreachable. */
-  private static final long MAX_RETRY_MILLIS = 600;
-
-  /** Time after a response for which the store counts as responding, in nanoseconds: 1 s. */
-  private static final long RESPONDING_NANOS = 1_000_000_000L;
-
   /** Largest number of calls without response that do not wait for changes. */
   private static final int MAX_CALLS = 10;
 
@@ -74,12 +58,11 @@
   private final StoreEra era;
   private final ConfirmationSchedule schedule;
   private final IndirectStore indirectStore;
+  private final StoreReachability reachability;
   private final long minLapseNanos;
   private final Listener listener;
   private boolean started;
   private boolean stopped;
-  private boolean storeReachable = true;
-  private boolean lastCallFailed;
   private boolean loaded;
   private long version;
   private long listEra;
@@ -87,8 +70,6 @@
   private long watchNumber;
   private int callsInProgress;
   private int indirectCallsInProgress;
-  private boolean heard;
-  private long heardNanos;
   private long nextCallNanos;
   private CompletableFuture<Void> nextResponse = new CompletableFuture<>();
 
@@ -115,16 +96,6 @@
     void onConfirmed();
   }
 
-  /** A call to the store, and since when it has been in progress. */
-  private record Call(boolean readsFullList, long waitMillis, boolean indirect, long askedNanos) {
-
-    /** Returns the kind of the call for the log. */
-    private String kind() {
-      String way = indirect ? "indirect-" : "";
-      return way + (readsFullList ? "full" : waitMillis == 0 ? "ask" : "watch");
-    }
-  }
-
   /**
    * Creates a watcher that makes no calls until {@link #start()}.
    *
@@ -148,6 +119,7 @@
     this.era = era;
     this.schedule = new ConfirmationSchedule(topic, state, bounds.millisOf(topic));
     this.indirectStore = new IndirectStore(topic, store, state, random, bounds.millisOf(topic));
+    this.reachability = new StoreReachability(random);
     this.minLapseNanos = bounds.minLapseMillis() * 1_000_000L;
     this.listener = listener;
   }
@@ -160,10 +132,10 @@
 
   /** Makes the next call at once if the store was unreachable: it responds to other calls. */
   void onStoreHeard() {
-    heardNanos = nowNanos();
-    heard = true;
-    if (!storeReachable) {
-      nextCallNanos = heardNanos;
+    long nowNanos = nowNanos();
+    reachability.onHeard(nowNanos);
+    if (!reachability.isReachable()) {
+      nextCallNanos = nowNanos;
     }
   }
 
@@ -179,12 +151,12 @@
     }
     long nowNanos = nowNanos();
     if (indirectCallsInProgress < MAX_INDIRECT_CALLS) {
-      indirectStore.due(lastCallFailed, nowNanos).ifPresent(this::askIndirectly);
+      indirectStore.due(reachability.lastCallFailed(), nowNanos).ifPresent(this::askIndirectly);
     }
     if (callsInProgress >= MAX_CALLS || nowNanos - nextCallNanos < 0) {
       return;
     }
-    if (!loaded || !storeReachable || schedule.isDue(nowNanos)) {
+    if (!loaded || !reachability.isReachable() || schedule.isDue(nowNanos)) {
       ask();
     }
   }
@@ -204,7 +176,7 @@
    * @return a future that completes when a response has been applied or a call has failed
    */
   CompletableFuture<Void> check() {
-    if (!loaded || !storeReachable || stopped) {
+    if (!loaded || !reachability.isReachable() || stopped) {
       return CompletableFuture.completedFuture(null);
     }
     CompletableFuture<Void> response = nextResponse;
@@ -219,18 +191,18 @@
     if (stopped) {
       return;
     }
-    Call call = new Call(!loaded, 0, false, nowNanos());
-    nextCallNanos = call.askedNanos() + patienceMillis() * 1_000_000L;
+    ListCall call = new ListCall(!loaded, 0, false, nowNanos());
+    nextCallNanos = call.askedNanos() + reachability.patienceMillis(call.askedNanos()) * 1_000_000L;
     callsInProgress++;
     onCompletion(make(call, store), (update, failure) -> onAnswer(call, update, failure));
   }
 
-  private CompletableFuture<ControlUpdate> make(Call call, ControlStore target) {
+  private CompletableFuture<ControlUpdate> make(ListCall call, ControlStore target) {
     return call.readsFullList() ? target.read(topic) : target.watch(topic, version, 0);
   }
 
   private void askIndirectly(ControlStore throughOther) {
-    Call call = new Call(!loaded, 0, true, nowNanos());
+    ListCall call = new ListCall(!loaded, 0, true, nowNanos());
     indirectCallsInProgress++;
     onCompletion(
         make(call, throughOther), (update, failure) -> onIndirectAnswer(call, update, failure));
@@ -258,7 +230,7 @@
             });
   }
 
-  private void onIndirectAnswer(Call call, ControlUpdate update, Throwable failure) {
+  private void onIndirectAnswer(ListCall call, ControlUpdate update, Throwable failure) {
     indirectCallsInProgress--;
     if (failure == null) {
       if (!isOutdated(update)) {
@@ -277,16 +249,9 @@
     }
   }
 
-  private long patienceMillis() {
-    boolean responds = heard && nowNanos() - heardNanos < RESPONDING_NANOS;
-    return storeReachable || responds
-        ? PATIENCE_MILLIS
-        : random.nextLong(MIN_RETRY_MILLIS, MAX_RETRY_MILLIS + 1);
-  }
-
-  private void onAnswer(Call call, ControlUpdate update, Throwable failure) {
+  private void onAnswer(ListCall call, ControlUpdate update, Throwable failure) {
     callsInProgress--;
-    lastCallFailed = failure != null;
+    reachability.onCallEnded(failure != null);
     if (failure != null) {
       onFailure(call, failure);
     } else if (onUpdate(call, update)) {
@@ -305,20 +270,20 @@
     watching = true;
     long number = ++watchNumber;
     long waitMillis = MIN_WATCH_MILLIS + random.nextLong(MAX_WATCH_MILLIS - MIN_WATCH_MILLIS + 1);
-    Call call = new Call(false, waitMillis, false, nowNanos());
+    ListCall call = new ListCall(false, waitMillis, false, nowNanos());
     onCompletion(
         store.watch(topic, version, waitMillis),
         (update, failure) -> onWatchEnd(number, call, update, failure));
   }
 
-  private void onWatchEnd(long number, Call call, ControlUpdate update, Throwable failure) {
+  private void onWatchEnd(long number, ListCall call, ControlUpdate update, Throwable failure) {
     if (failure == null) {
       onUpdate(call, update);
     }
     if (number != watchNumber) {
       return;
     }
-    lastCallFailed = failure != null;
+    reachability.onCallEnded(failure != null);
     if (failure != null) {
       onWatchFailed(failure);
     } else if (update.changes().isEmpty()) {
@@ -333,7 +298,7 @@
     watching = false;
     if (isHistoryLost(failure)) {
       onHistoryLost();
-    } else if (storeReachable && callsInProgress < MAX_CALLS) {
+    } else if (reachability.isReachable() && callsInProgress < MAX_CALLS) {
       Logger.info(
           "event=watch-lost list={} version={} reason=\"{}\"", topic, version, rootOf(failure));
       ask();
@@ -354,7 +319,7 @@
   }
 
   /** Applies a response; returns false if it says less than what is known. */
-  private boolean onUpdate(Call call, ControlUpdate update) {
+  private boolean onUpdate(ListCall call, ControlUpdate update) {
     listener.onStoreHeard();
     if (isOutdated(update)) {
       return false;
@@ -378,7 +343,7 @@
    *
    * @param regained whether the store was unreachable before
    */
-  private Reading accept(Call call, ControlUpdate update, boolean regained) {
+  private Reading accept(ListCall call, ControlUpdate update, boolean regained) {
     if (update.storeEra() > listEra && !call.readsFullList()) {
       // Calls onNewEra() of all lists, this one included.
       era.onResponse(update.storeEra());
@@ -386,7 +351,7 @@
     }
     final long ageBeforeMillis = state.listAgeNanos(topic) / 1_000_000L;
     boolean changed = apply(call, update);
-    state.onListRead(topic, update, asOfNanos(call, update));
+    state.onListRead(topic, update, call.asOfNanos(update, nowNanos()));
     if (changed || regained) {
       logRead(call, update, ageBeforeMillis);
     }
@@ -394,7 +359,7 @@
   }
 
   /** Returns whether the response holds anything that was not known. */
-  private boolean apply(Call call, ControlUpdate update) {
+  private boolean apply(ListCall call, ControlUpdate update) {
     boolean changed = update.version() > version && !update.changes().isEmpty();
     if (call.readsFullList()) {
       listEra = update.storeEra();
@@ -413,14 +378,7 @@
         || (update.storeEra() == listEra && update.version() < version);
   }
 
-  /** Returns a time at or after which the list was as the response says. */
-  private long asOfNanos(Call call, ControlUpdate update) {
-    boolean waitedForNothing = update.changes().isEmpty() && update.storeMillis() == 0;
-    long waitedNanos = waitedForNothing ? call.waitMillis() * 1_000_000L : 0;
-    return Math.min(call.askedNanos() + waitedNanos, nowNanos());
-  }
-
-  private void logRead(Call call, ControlUpdate update, long ageBeforeMillis) {
+  private void logRead(ListCall call, ControlUpdate update, long ageBeforeMillis) {
     Logger.info(
         "event=list-read list={} call={} version={} changes={} took-millis={}"
             + " age-before-millis={} age-millis={}",
@@ -435,24 +393,24 @@
 
   /** Returns whether the store was unreachable before. */
   private boolean onStoreReachable() {
-    if (storeReachable) {
+    if (reachability.isReachable()) {
       return false;
     }
-    storeReachable = true;
+    reachability.setReachable(true);
     state.onListReachable(topic, true);
     Logger.info("event=store-regained list={} version={}", topic, version);
     state.onStoreRegained(minLapseNanos);
     return true;
   }
 
-  private void onFailure(Call call, Throwable failure) {
+  private void onFailure(ListCall call, Throwable failure) {
     if (isHistoryLost(failure)) {
       onHistoryLost();
       return;
     }
     boolean confirmedSince = state.listAgeNanos(topic) < nowNanos() - call.askedNanos();
-    if (storeReachable && !confirmedSince) {
-      storeReachable = false;
+    if (reachability.isReachable() && !confirmedSince) {
+      reachability.setReachable(false);
       state.onListReachable(topic, false);
       Logger.warn(
           "event=store-lost list={} version={} age-millis={} reason=\"store call failed,"
