--- a/soak/src/main/java/org/bambooarch/soak/InstanceGroup.java
+++ b/soak/src/main/java/org/bambooarch/soak/InstanceGroup.java
@@ -14,6 +14,7 @@
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.IntFunction;
 import org.bambooarch.platform.fake.WireNames;
 import org.tinylog.Logger;
 
@@ -102,8 +103,10 @@
    * @param root root of the repository, whose deploy file names the command
    * @param logs folder for settings and logs
    * @param network first three numbers of a free loopback network
+   * @param storeOf returns the store's address for an instance, counted from 0
    */
-  InstanceGroup(Path root, Path logs, String network, int size, InetSocketAddress store)
+  InstanceGroup(
+      Path root, Path logs, String network, int size, IntFunction<InetSocketAddress> storeOf)
       throws IOException {
     this.root = root;
     this.logs = logs;
@@ -113,7 +116,7 @@
       String name = "front-" + zone + "-" + (i + 1);
       String ip = network + "." + (11 + i);
       Path settings = logs.resolve(name + ".json");
-      Files.writeString(settings, settings(name, ip, zone, store));
+      Files.writeString(settings, settings(name, ip, zone, storeOf.apply(i)));
       instances.add(new Instance(name, ip, zone, settings));
     }
   }
--- a/soak/src/main/java/org/bambooarch/soak/Soak.java
+++ b/soak/src/main/java/org/bambooarch/soak/Soak.java
@@ -39,7 +39,7 @@
       boolean calm,
       boolean plannedOnly,
       double rollSeconds,
-      boolean storeTrouble) {}
+      List<StoreTrouble.Kind> storeTroubles) {}
 
   private final Plan plan;
   private final Path root;
@@ -64,9 +64,9 @@
     System.out.println(plan);
     System.out.println("faults " + faults);
     String network = InstanceGroup.freeNetwork(new Random());
-    try (StoreServer store = new StoreServer();
+    try (StoreServer store = new StoreServer(plan.instances());
         InstanceGroup instances =
-            new InstanceGroup(root, logs, network, plan.instances(), store.address())) {
+            new InstanceGroup(root, logs, network, plan.instances(), store::address)) {
       Runtime.getRuntime().addShutdownHook(new Thread(instances::close));
       String movedTo = PlayedDeployment.SERVICES.getFirst();
       Map<String, Set<String>> homes = PlayedDeployment.firstHomes();
@@ -83,9 +83,9 @@
         operator.start(operatorSeed, plan.plannedOnly());
       }
       long storeSeed = seeds.nextLong();
-      StoreTrouble storeTrouble = new StoreTrouble(store, changes, clock);
-      if (plan.storeTrouble()) {
-        storeTrouble.start(storeSeed);
+      StoreTrouble storeTrouble = new StoreTrouble(store, plan.instances(), changes, clock);
+      if (!plan.storeTroubles().isEmpty()) {
+        storeTrouble.start(plan.storeTroubles(), storeSeed);
       }
       RollingStops rollingStops = new RollingStops(instances, clock);
       if (plan.rollSeconds() > 0) {
--- a/soak/src/main/java/org/bambooarch/soak/SoakMain.java
+++ b/soak/src/main/java/org/bambooarch/soak/SoakMain.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import joptsimple.OptionException;
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
@@ -47,9 +48,11 @@
     OptionSpec<Double> roll =
         option(
             parser, "roll", "seconds from one SIGTERM to the next, 0 for none", Double.class, 0.0);
-    OptionSpec<Void> storeTrouble =
-        parser.accepts(
-            "store-trouble", "the store loses and delays responses, is silent, drops its history");
+    OptionSpec<String> storeTrouble =
+        parser
+            .accepts("store-trouble", "troubles of the store, all kinds if none are given")
+            .withOptionalArg()
+            .withValuesSeparatedBy(',');
     OptionSpec<String> keepLogs =
         parser.accepts("keep-logs", "folder for logs").withRequiredArg().ofType(String.class);
     try {
@@ -73,7 +76,7 @@
               options.has(calm),
               options.has(planned),
               options.valueOf(roll),
-              options.has(storeTrouble));
+              storeTroubles(options, storeTrouble));
       return new Soak(plan, Path.of("").toAbsolutePath(), logs).run() ? 0 : BROKEN;
     } catch (OptionException e) {
       System.err.println(e.getMessage());
@@ -87,6 +90,16 @@
     }
   }
 
+  private static List<StoreTrouble.Kind> storeTroubles(
+      OptionSet options, OptionSpec<String> storeTrouble) {
+    if (!options.has(storeTrouble)) {
+      return List.of();
+    }
+    List<StoreTrouble.Kind> kinds =
+        options.valuesOf(storeTrouble).stream().map(StoreTrouble.Kind::valueOf).toList();
+    return kinds.isEmpty() ? List.of(StoreTrouble.Kind.values()) : kinds;
+  }
+
   private static <T> OptionSpec<T> option(
       OptionParser parser, String name, String text, Class<T> type, T value) {
     return parser.accepts(name, text).withRequiredArg().ofType(type).defaultsTo(value);
--- a/soak/src/main/java/org/bambooarch/soak/StoreTrouble.java
+++ b/soak/src/main/java/org/bambooarch/soak/StoreTrouble.java
@@ -1,12 +1,21 @@
 package org.bambooarch.soak;
 
+import com.linecorp.armeria.common.HttpStatus;
+import java.net.InetSocketAddress;
 import java.util.EnumMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.atomic.LongAdder;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.bambooarch.platform.fake.StoreServer;
 
-/** Lets the store lose and delay responses, fall silent and drop its history, one after another. */
+/**
+ * Lets the store lose and delay responses, fall silent, turn instances away and drop its history,
+ * one after another.
+ */
 final class StoreTrouble {
 
   /** What the store does. */
@@ -18,7 +27,9 @@
     /** No response comes. */
     SILENT(1, 0),
     /** Waiting feeds hear of no change, then the history is dropped. */
-    GAP(0, 0);
+    GAP(0, 0),
+    /** A third of the instances get a refusal or no response, the others are served. */
+    TURNING_AWAY(0, 0);
 
     private final double lossShare;
     private final long longestDelayMillis;
@@ -34,16 +45,29 @@
   private static final int MIN_TROUBLE_MILLIS = 500;
   private static final int MAX_TROUBLE_MILLIS = 4_000;
 
+  /** Time for which instances are turned away: longer than any bound on a change. */
+  private static final int MIN_TURNING_AWAY_MILLIS = 4_000;
+
+  private static final int MAX_TURNING_AWAY_MILLIS = 9_000;
+
+  private static final int TURNED_AWAY_DIVISOR = 3;
+
+  /** What instances are turned away with; OK stands for no response. */
+  private static final List<HttpStatus> REFUSALS =
+      List.of(HttpStatus.OK, HttpStatus.TOO_MANY_REQUESTS, HttpStatus.SERVICE_UNAVAILABLE);
+
   /** Time for which waiting feeds hear nothing before the history is dropped. */
   private static final long GAP_MILLIS = 1_000;
 
   private final StoreServer store;
+  private final int instances;
   private final PlayedChanges changes;
   private final RunClock clock;
   private final Map<Kind, LongAdder> counts = new EnumMap<>(Kind.class);
 
-  StoreTrouble(StoreServer store, PlayedChanges changes, RunClock clock) {
+  StoreTrouble(StoreServer store, int instances, PlayedChanges changes, RunClock clock) {
     this.store = store;
+    this.instances = instances;
     this.changes = changes;
     this.clock = clock;
     for (Kind kind : Kind.values()) {
@@ -56,8 +80,8 @@
     return counts;
   }
 
-  /** Starts to play until the end of the run. */
-  void start(long seed) {
+  /** Starts to play troubles of the given kinds until the end of the run. */
+  void start(List<Kind> kinds, long seed) {
     Random random = new Random(seed);
     Thread.ofVirtual()
         .start(
@@ -65,7 +89,7 @@
               try {
                 while (!clock.isOver()) {
                   Thread.sleep(random.nextInt(MIN_PAUSE_MILLIS, MAX_PAUSE_MILLIS));
-                  play(Kind.values()[random.nextInt(Kind.values().length)], random);
+                  play(kinds.get(random.nextInt(kinds.size())), random);
                 }
               } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
@@ -83,6 +107,13 @@
       changes.onUnplanned(beginNanos, System.nanoTime());
       return;
     }
+    if (kind == Kind.TURNING_AWAY) {
+      store.turnAway(someInstances(random), REFUSALS.get(random.nextInt(REFUSALS.size())));
+      Thread.sleep(random.nextInt(MIN_TURNING_AWAY_MILLIS, MAX_TURNING_AWAY_MILLIS));
+      store.turnAway(Set.of(), HttpStatus.OK);
+      changes.onUnplanned(beginNanos, System.nanoTime());
+      return;
+    }
     store.setTrouble(kind.lossShare, kind.longestDelayMillis);
     Thread.sleep(random.nextInt(MIN_TROUBLE_MILLIS, MAX_TROUBLE_MILLIS));
     store.setTrouble(0, 0);
@@ -91,4 +122,12 @@
       changes.onSilence(beginNanos, System.nanoTime());
     }
   }
+
+  private Set<InetSocketAddress> someInstances(Random random) {
+    int first = random.nextInt(instances);
+    int count = Math.max(1, instances / TURNED_AWAY_DIVISOR);
+    return IntStream.range(first, first + count)
+        .mapToObj(instance -> store.address(instance % instances))
+        .collect(Collectors.toSet());
+  }
 }
