--- a/soak/src/main/java/org/bambooarch/soak/SoakMain.java
+++ b/soak/src/main/java/org/bambooarch/soak/SoakMain.java
@@ -78,7 +78,7 @@
               options.valueOf(roll),
               storeTroubles(options, storeTrouble));
       return new Soak(plan, Path.of("").toAbsolutePath(), logs).run() ? 0 : BROKEN;
-    } catch (OptionException e) {
+    } catch (OptionException | IllegalArgumentException e) {
       System.err.println(e.getMessage());
       return COULD_NOT_RUN;
     } catch (IOException e) {
