--- a/gateway/src/test/java/org/bambooarch/gateway/control/ListAgeRun.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/control/ListAgeRun.java
@@ -8,8 +8,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
-import org.bambooarch.core.steering.config.CallerLimits;
-import org.bambooarch.core.steering.config.SteeringConfig;
 import org.bambooarch.core.steering.fleet.FleetTable;
 import org.bambooarch.core.steering.fleet.Heartbeat;
 import org.bambooarch.core.steering.fleet.InstanceIdentity;
@@ -304,14 +302,7 @@
 
   private void writeConfiguration() {
     configurationVersion++;
-    SteeringConfig config =
-        new SteeringConfig(
-            configurationVersion,
-            List.of(),
-            List.of(),
-            List.of(),
-            new CallerLimits(16_384, 1 << 20, 3_000, 15_000));
-    store.put(Topic.OPERATOR, "config", new ControlChange.ConfigurationChanged(config));
+    store.putConfiguration(configurationVersion);
     configurationAckMillis.put(configurationVersion, nowMillis);
   }
 
--- a/gateway/src/test/java/org/bambooarch/gateway/control/SimulatedStore.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/control/SimulatedStore.java
@@ -15,6 +15,8 @@
 import java.util.function.LongConsumer;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
+import org.bambooarch.core.steering.config.CallerLimits;
+import org.bambooarch.core.steering.config.SteeringConfig;
 import org.bambooarch.core.steering.fleet.InstanceIdentity;
 import org.bambooarch.core.time.Clock;
 import org.bambooarch.gateway.spi.ControlChange;
@@ -79,6 +81,18 @@
     write(topic, key, change, false);
   }
 
+  /** Writes a configuration without routes. */
+  void putConfiguration(long version) {
+    SteeringConfig config =
+        new SteeringConfig(
+            version,
+            List.of(),
+            List.of(),
+            List.of(),
+            new CallerLimits(16_384, 1 << 20, 3_000, 15_000));
+    put(Topic.OPERATOR, "config", new ControlChange.ConfigurationChanged(config));
+  }
+
   /** Removes a row; the change tells instances of it. */
   void remove(Topic topic, String key, ControlChange change) {
     write(topic, key, change, true);
--- a/gateway/src/test/java/org/bambooarch/gateway/control/TurnedAwayInstanceTest.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/control/TurnedAwayInstanceTest.java
@@ -8,8 +8,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
-import org.bambooarch.core.steering.config.CallerLimits;
-import org.bambooarch.core.steering.config.SteeringConfig;
 import org.bambooarch.core.steering.fleet.FleetTable;
 import org.bambooarch.core.steering.fleet.Heartbeat;
 import org.bambooarch.core.steering.fleet.InstanceIdentity;
@@ -85,7 +83,7 @@
   TurnedAwayInstanceTest() {
     channel.freezeTime();
     store = new SimulatedStore(channel.eventLoop(), clock, random);
-    writeConfiguration(1);
+    store.putConfiguration(1);
     store.put(
         Topic.SERVERS,
         "server-1",
@@ -96,17 +94,6 @@
     }
   }
 
-  private void writeConfiguration(long version) {
-    SteeringConfig config =
-        new SteeringConfig(
-            version,
-            List.of(),
-            List.of(),
-            List.of(),
-            new CallerLimits(16_384, 1 << 20, 3_000, 15_000));
-    store.put(Topic.OPERATOR, "config", new ControlChange.ConfigurationChanged(config));
-  }
-
   private void passMillis(long millis) {
     for (long end = nowMillis + millis; nowMillis < end; ) {
       nowMillis += STEP_MILLIS;
@@ -128,9 +115,9 @@
     turnedAway.client.setSilent(true);
     passMillis(5_000);
 
-    writeConfiguration(2);
+    store.putConfiguration(2);
     passMillis(BOUND_MILLIS);
-    writeConfiguration(3);
+    store.putConfiguration(3);
     passMillis(BOUND_MILLIS);
 
     assertThat(instances).extracting(Instance::configurationVersion).containsOnly(3L);
