--- a/soak/src/main/java/org/bambooarch/soak/StoreTrouble.java
+++ b/soak/src/main/java/org/bambooarch/soak/StoreTrouble.java
@@ -1,6 +1,5 @@
 package org.bambooarch.soak;
 
-import com.linecorp.armeria.common.HttpStatus;
 import java.net.InetSocketAddress;
 import java.util.EnumMap;
 import java.util.List;
@@ -52,9 +51,8 @@
 
   private static final int TURNED_AWAY_DIVISOR = 3;
 
-  /** What instances are turned away with; OK stands for no response. */
-  private static final List<HttpStatus> REFUSALS =
-      List.of(HttpStatus.OK, HttpStatus.TOO_MANY_REQUESTS, HttpStatus.SERVICE_UNAVAILABLE);
+  /** Statuses with which instances are turned away. */
+  private static final List<Integer> REFUSALS = List.of(StoreServer.NO_RESPONSE, 429, 503);
 
   /** Time for which waiting feeds hear nothing before the history is dropped. */
   private static final long GAP_MILLIS = 1_000;
@@ -110,7 +108,7 @@
     if (kind == Kind.TURNING_AWAY) {
       store.turnAway(someInstances(random), REFUSALS.get(random.nextInt(REFUSALS.size())));
       Thread.sleep(random.nextInt(MIN_TURNING_AWAY_MILLIS, MAX_TURNING_AWAY_MILLIS));
-      store.turnAway(Set.of(), HttpStatus.OK);
+      store.turnAway(Set.of(), StoreServer.NO_RESPONSE);
       changes.onUnplanned(beginNanos, System.nanoTime());
       return;
     }
