--- a/gateway/src/main/java/org/bambooarch/gateway/control/ListProgress.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ListProgress.java
@@ -208,9 +208,8 @@
   }
 
   /**
-   * Returns for how long the store has confirmed other content to others without this instance
-   * having learned of it, from the first such confirmation to the last, by the store's clock, in
-   * milliseconds.
+   * Returns the time, by the store's clock, between the first and the last confirmation of other
+   * content to other instances since this instance's own last confirmation, in milliseconds.
    */
   long overdueMillis(Topic topic) {
     Progress progress = progresses.get(topic);
--- a/gateway/src/main/java/org/bambooarch/gateway/relay/StoreCallService.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/relay/StoreCallService.java
@@ -11,7 +11,7 @@
 import org.bambooarch.gateway.spi.RelayHeaders;
 
 /**
- * Passes calls of other instances on to the store, to which it does not respond itself. All other
+ * Makes calls to the store for other instances, to which the store does not respond. All other
  * requests on the relay port go to the next service.
  *
  * <p>Used on the event loop only.
