--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -9,7 +9,7 @@
   exit 2
 fi
 timeout 118 "$JAVA_HOME/bin/java" --sun-misc-unsafe-memory-access=allow \
-  --enable-native-access=ALL-UNNAMED -cp 'target/review-2:target/app/*' lab2.StuckConnection review/10
+  --enable-native-access=ALL-UNNAMED -cp 'target/review-2:target/app/*' lab2.CrashingRequest review/10
 code=$?
 [ "$code" -le 1 ] && exit "$code"
 exit 2
