Reject responses with a line that is no field in a head or in trailers

Cause: Netty's decoder ends the name of a response's field at the first blank and continues behind the next colon. "content-length x: 2" was read as a length of 2, "server-seal x: s" as the server's seal, "request-id x: r1" as the id of the request, "not-executed x: 1" as the statement that an order did not run, and another instance's "x-bambooarch-relay-outcome x: not-sent" as an outcome. The decoded names are valid, so a later check can't find them.

Change: the decoder checks the name where it is split from its line. It must be a token with the colon right behind it; otherwise the attempt fails, the connection is closed, and the reason in the log names the byte that was found (for a status, its beginning). A blank between name and colon is rejected as well.

--- a/gateway/src/main/java/org/bambooarch/gateway/target/ResponseDecoder.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/target/ResponseDecoder.java
@@ -4,9 +4,11 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.handler.codec.http.HttpHeaderValidationUtil;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.util.AsciiString;
 import io.netty.util.ByteProcessor;
 import java.util.List;
 import java.util.regex.Pattern;
@@ -86,11 +88,27 @@
   @Override
   protected HttpMessage createMessage(String[] initialLine) {
     if (!STATUS.matcher(initialLine[1]).matches()) {
-      throw new IllegalArgumentException("expected a status of HTTP but found " + initialLine[1]);
+      throw MalformedHeadException.status(initialLine[1]);
     }
     return super.createMessage(initialLine);
   }
 
+  /**
+   * Fails for a name that is not a token with a colon right behind it. Netty ends the name at the
+   * first blank and continues behind the next colon, wherever that is.
+   */
+  @Override
+  protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+    AsciiString name = super.splitHeaderName(line, start, length);
+    int invalidIndex = HttpHeaderValidationUtil.validateToken(name);
+    int tokenLength = invalidIndex < 0 ? length : invalidIndex;
+    byte next = line[start + tokenLength];
+    if (tokenLength == 0 || next != ':') {
+      throw MalformedHeadException.fieldName(next);
+    }
+    return name;
+  }
+
   @Override
   protected boolean isContentAlwaysEmpty(HttpMessage message) {
     return headRequest || super.isContentAlwaysEmpty(message);
--- a/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnection.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnection.java
@@ -258,7 +258,7 @@
 
   private void onObject(HttpObject object) {
     if (object.decoderResult().isFailure()) {
-      failRequest("the server sent bytes that are not a valid HTTP response");
+      failRequest(reasonOf(object.decoderResult().cause()));
       close();
       return;
     }
@@ -270,6 +270,14 @@
     }
   }
 
+  private static String reasonOf(Throwable decodingFailure) {
+    String reason = "the server sent bytes that are not a valid HTTP response";
+    // Messages of the library quote the bytes as they came, which a log line can't hold.
+    return decodingFailure instanceof MalformedHeadException
+        ? reason + ": " + decodingFailure.getMessage()
+        : reason;
+  }
+
   private void onHead(HttpResponse head) {
     if (readState == ReadState.IDLE) {
       onUnrequested(Optional.of(head));
--- a/gateway/src/test/java/org/bambooarch/gateway/target/TargetConnectionReadingTest.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/target/TargetConnectionReadingTest.java
@@ -20,6 +20,8 @@
 import org.bambooarch.gateway.spi.ServerResponseHeaders;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** When a connection to a server is read, and how what was read is passed on. */
 class TargetConnectionReadingTest {
@@ -187,4 +189,18 @@
     assertThat(listener.complete).isFalse();
     assertThat(listener.parts).last().asString().startsWith("lost: ");
   }
+
+  @ParameterizedTest
+  @CsvSource({
+    "'HTTP/1.1 200 OK\r\nx y: z\r\n\r\n', found byte 0x20",
+    "'HTTP/1.1 200 OK\r\nx\u0001: z\r\n\r\n', found byte 0x01",
+    "'HTTP/1.1 0\"0 OK\r\n\r\n', found 0?0"
+  })
+  void should_tell_what_was_found_in_a_malformed_head(String head, String found) {
+    sendRequest();
+    receive(head);
+
+    assertThat(listener.parts).singleElement().asString().startsWith("lost: ").endsWith(found);
+    assertThat(channel.isActive()).isFalse();
+  }
 }
