Move the decoder of responses into a module of its own

The clients of the store, of entry's targets and of the command line read responses with the decoder of the HTTP library. They can't use the strict one, because it belongs to gateway, on which store and entry don't depend.

Change: the module http holds ResponseDecoder and MalformedHeadException and depends on no other module (ModuleDependenciesTest). No behaviour changes.

--- a/cli/src/test/java/org/bambooarch/cli/ModuleDependenciesTest.java
+++ b/cli/src/test/java/org/bambooarch/cli/ModuleDependenciesTest.java
@@ -12,6 +12,7 @@
 class ModuleDependenciesTest {
 
   private static final String CORE = "org.bambooarch.core..";
+  private static final String HTTP = "org.bambooarch.http..";
   private static final String INVENTORY = "org.bambooarch.inventory..";
   private static final String STORE = "org.bambooarch.store..";
   private static final String PLATFORM = "org.bambooarch.platform..";
@@ -28,7 +29,16 @@
           .resideInAPackage(CORE)
           .should()
           .dependOnClassesThat()
-          .resideInAnyPackage(INVENTORY, STORE, PEER, ENTRY, STANDIN, CLI);
+          .resideInAnyPackage(HTTP, INVENTORY, STORE, PEER, ENTRY, STANDIN, CLI);
+
+  @ArchTest
+  static final ArchRule http_should_depend_on_no_other_module =
+      noClasses()
+          .that()
+          .resideInAPackage(HTTP)
+          .should()
+          .dependOnClassesThat()
+          .resideInAnyPackage(CORE, INVENTORY, STORE, PEER, GATEWAY, PLATFORM, ENTRY, STANDIN, CLI);
 
   @ArchTest
   static final ArchRule core_should_do_no_input_or_output =
@@ -108,7 +118,7 @@
                   + "|fleet\\.(CustomerRateLimiter|FleetTable|ServiceRetryBudgets)).*");
 
   @ArchTest
-  static final ArchRule gateway_should_depend_on_core_and_peer_only =
+  static final ArchRule gateway_should_depend_on_core_http_and_peer_only =
       noClasses()
           .that()
           .resideInAPackage(GATEWAY)
--- a/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnection.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnection.java
@@ -20,6 +20,8 @@
 import org.bambooarch.core.time.Clock;
 import org.bambooarch.gateway.spi.RequestFormat;
 import org.bambooarch.gateway.spi.ServerResponseHeaders;
+import org.bambooarch.http.MalformedHeadException;
+import org.bambooarch.http.ResponseDecoder;
 import org.tinylog.Logger;
 
 /**
--- a/gateway/src/main/java/org/bambooarch/gateway/target/MalformedHeadException.java
+++ b/http/src/main/java/org/bambooarch/http/MalformedHeadException.java
@@ -1,7 +1,7 @@
-package org.bambooarch.gateway.target;
+package org.bambooarch.http;
 
 /** Thrown for the head or the trailers of a response that are not valid in HTTP. */
-final class MalformedHeadException extends IllegalArgumentException {
+public final class MalformedHeadException extends IllegalArgumentException {
 
   private static final long serialVersionUID = 1L;
 
--- a/gateway/src/main/java/org/bambooarch/gateway/target/ResponseDecoder.java
+++ b/http/src/main/java/org/bambooarch/http/ResponseDecoder.java
@@ -1,4 +1,4 @@
-package org.bambooarch.gateway.target;
+package org.bambooarch.http;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
@@ -21,7 +21,7 @@
  * response without a length ends only if the server has ended its output, and not if the connection
  * failed or was closed on this side.
  */
-final class ResponseDecoder extends HttpResponseDecoder {
+public final class ResponseDecoder extends HttpResponseDecoder {
 
   private static final int MAX_INITIAL_LINE_BYTES = 8 * 1024;
   private static final int MAX_HEADER_BYTES = 64 * 1024;
@@ -33,12 +33,13 @@
   private boolean connectionFailed;
   private boolean endOfStreamRead;
 
-  ResponseDecoder() {
+  /** Creates the decoder of a connection that has not received anything. */
+  public ResponseDecoder() {
     super(MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES);
   }
 
   /** Sets the method of the request whose response comes next. */
-  void beforeResponseTo(String method) {
+  public void beforeResponseTo(String method) {
     headRequest = method.equals(HttpMethod.HEAD.name());
   }
 
@@ -46,7 +47,7 @@
    * Returns whether bytes have been read behind the last object that was decoded. Line breaks do
    * not count, which the decoder skips in front of the next response.
    */
-  boolean hasUndecodedBytes() {
+  public boolean hasUndecodedBytes() {
     return actualReadableBytes() > 0
         && internalBuffer().forEachByte(ByteProcessor.FIND_NON_CRLF) >= 0;
   }
