Decode the responses of entry's targets strictly

Callers of the product's own interface got malformed responses of servers for answers: heads with a line that is no field, a body cut to such a line's "content-length x", the status 0200 as 200, and a part of a response without a length as a complete one when the connection was reset within it. With "bambooarch-outcome x: not-run" a request counted as not run.

Cause: the clients of targets decode with Netty's own codec, as those of the store did. The status was checked after it had been parsed as a number.

Change: the clients use StrictHttp1, which replaces that check of the status. StrictHttp1 reports a malformed response as the cause of the failure, so that it is an invalid response here and the store's log lines name the reason.

Evidence, on x86-64: 17 of 32 cases of MalformedTargetResponseTest failed before (7 of 13 heads, each sent and streamed, the reset, 2 on the outcome of the attempt) and pass. Passed before and pass: control bytes in names, an empty name, a line that begins with a blank, a reset that an upload finds, the regular end of a response without a length, a HEAD request, TargetStatusTest.

--- a/core/src/main/java/org/bambooarch/core/request/AttemptOutcome.java
+++ b/core/src/main/java/org/bambooarch/core/request/AttemptOutcome.java
@@ -29,7 +29,7 @@
   record ConnectionLost(boolean targetCrashed, long bytesForwarded) implements AttemptOutcome {}
 
   /**
-   * The response belongs to another request, or is shorter or longer than declared.
+   * The response is malformed, belongs to another request, or is shorter or longer than declared.
    *
    * @param bytesForwarded bytes of the response that were already forwarded to the caller
    */
--- a/entry/src/main/java/org/bambooarch/entry/request/target/TargetClients.java
+++ b/entry/src/main/java/org/bambooarch/entry/request/target/TargetClients.java
@@ -1,11 +1,13 @@
 package org.bambooarch.entry.request.target;
 
 import com.linecorp.armeria.client.ClientFactory;
+import com.linecorp.armeria.client.ClientFactoryOptions;
 import com.linecorp.armeria.client.WebClient;
 import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import org.bambooarch.core.inventory.Server;
+import org.bambooarch.http.StrictHttp1;
 
 /**
  * The HTTP clients for target servers; thread-safe.
@@ -46,7 +48,11 @@
   }
 
   private static ClientFactory factory(Duration idleTimeout) {
-    return ClientFactory.builder().idleTimeout(idleTimeout).connectTimeout(CONNECT_TIMEOUT).build();
+    return ClientFactory.builder()
+        .idleTimeout(idleTimeout)
+        .connectTimeout(CONNECT_TIMEOUT)
+        .option(ClientFactoryOptions.CHANNEL_PIPELINE_CUSTOMIZER, StrictHttp1::prepare)
+        .build();
   }
 
   private static WebClient client(String uri, ClientFactory factory) {
--- a/entry/src/main/java/org/bambooarch/entry/request/target/TargetExchange.java
+++ b/entry/src/main/java/org/bambooarch/entry/request/target/TargetExchange.java
@@ -7,6 +7,7 @@
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.common.ProtocolViolationException;
 import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.RequestHeadersBuilder;
 import com.linecorp.armeria.common.ResponseHeaders;
@@ -31,8 +32,6 @@
  */
 public final class TargetExchange {
 
-  private static final int MIN_STATUS = 100;
-  private static final int MAX_STATUS = 599;
   private static final long MILLIS_PER_SECOND = 1_000;
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
@@ -79,9 +78,8 @@
     try {
       ResponseHeaders headers = await(split.headers(), deadlineNanos);
       ResponseCheck check = ResponseCheck.forRequest(request.requestId());
-      if (!hasStatusOfHttp(headers)
-          || check.onHeaders(headers.get(HeaderRules.REQUEST_ID, ""), OptionalLong.empty())
-              != ResponseCheck.Result.VALID) {
+      if (check.onHeaders(headers.get(HeaderRules.REQUEST_ID, ""), OptionalLong.empty())
+          != ResponseCheck.Result.VALID) {
         response.abort();
         return new Result.Failed(new AttemptOutcome.InvalidResponse(0));
       }
@@ -91,7 +89,7 @@
       }
       return new Result.HeadersReceived(headers, split);
     } catch (ExecutionException e) {
-      return connectionFailure(e.getCause(), server);
+      return failure(e.getCause(), server);
     } catch (TimeoutException e) {
       response.abort();
       return new Result.Failed(new AttemptOutcome.TimedOut(0));
@@ -109,7 +107,7 @@
           aggregated.headers().get(HeaderRules.REQUEST_ID, ""),
           declaredLength(aggregated.headers()));
       check.onData(aggregated.content().length());
-      if (!hasStatusOfHttp(aggregated.headers()) || check.onEnd() != ResponseCheck.Result.VALID) {
+      if (check.onEnd() != ResponseCheck.Result.VALID) {
         return new Result.Failed(new AttemptOutcome.InvalidResponse(0));
       }
       if (isShed(aggregated.headers(), request.isIdempotent())) {
@@ -117,19 +115,13 @@
       }
       return new Result.Aggregated(aggregated);
     } catch (ExecutionException e) {
-      return connectionFailure(e.getCause(), server);
+      return failure(e.getCause(), server);
     } catch (TimeoutException e) {
       response.abort();
       return new Result.Failed(new AttemptOutcome.TimedOut(0));
     }
   }
 
-  /** Returns whether callers can interpret the status; the library takes any number for one. */
-  private static boolean hasStatusOfHttp(ResponseHeaders headers) {
-    int status = headers.status().code();
-    return status >= MIN_STATUS && status <= MAX_STATUS;
-  }
-
   /** Returns the body length that the headers declare, in bytes; empty if they declare none. */
   public static OptionalLong declaredLength(ResponseHeaders headers) {
     long length = headers.contentLength();
@@ -160,10 +152,13 @@
     return Math.max(0, (deadlineNanos - clock.monotonicNanos()) / NANOS_PER_MILLI);
   }
 
-  private static Result connectionFailure(Throwable cause, Server server) {
+  private static Result failure(Throwable cause, Server server) {
     if (cause instanceof UnprocessedRequestException) {
       return new Result.Failed(new AttemptOutcome.NotSent());
     }
+    if (cause.getCause() instanceof ProtocolViolationException) {
+      return new Result.Failed(new AttemptOutcome.InvalidResponse(0));
+    }
     return new Result.Failed(
         new AttemptOutcome.ConnectionLost(ServerLivenessProbe.isDown(server), 0));
   }
--- a/http/src/main/java/org/bambooarch/http/StrictHttp1.java
+++ b/http/src/main/java/org/bambooarch/http/StrictHttp1.java
@@ -1,9 +1,13 @@
 package org.bambooarch.http;
 
+import com.linecorp.armeria.common.ProtocolViolationException;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.util.ReferenceCountUtil;
 
 /**
  * Lets a client of Armeria decode responses with {@link ResponseDecoder}, because its own decoder
@@ -13,6 +17,8 @@
  */
 public final class StrictHttp1 {
 
+  private static final String CODEC_NAME = "strict-http1-codec";
+
   private StrictHttp1() {}
 
   /**
@@ -30,10 +36,27 @@
     public void channelActive(ChannelHandlerContext context) {
       ChannelPipeline pipeline = context.pipeline();
       if (pipeline.get(HttpClientCodec.class) != null) {
-        pipeline.replace(HttpClientCodec.class, null, new ClientCodec());
+        ChannelHandler codec = new ClientCodec();
+        pipeline.replace(HttpClientCodec.class, CODEC_NAME, codec);
+        pipeline.addAfter(CODEC_NAME, null, new FailureReporter());
       }
       context.fireChannelActive();
       pipeline.remove(this);
     }
   }
+
+  /** Closes the connection on a malformed response, which then becomes the cause of the failure. */
+  private static final class FailureReporter extends ChannelInboundHandlerAdapter {
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+      if (message instanceof HttpObject object && object.decoderResult().isFailure()) {
+        ReferenceCountUtil.release(message);
+        context.fireExceptionCaught(new ProtocolViolationException(object.decoderResult().cause()));
+        context.close();
+        return;
+      }
+      context.fireChannelRead(message);
+    }
+  }
 }
