Decode the responses of the platform's services strictly

A write to the platform counted as made or as refused, and an object as missing, for responses with a malformed head or with the statuses 0200, 0503 and 0404; a part of an object without a length was read as the whole one when the connection was reset within it.

Change: it uses StrictHttp1, so that such a write has an unknown outcome and such a read fails. Connections with HTTP/2, which the client prefers, stay as they are: HTTP/2 frames its messages.

--- a/http/src/main/java/org/bambooarch/http/StrictHttp1.java
+++ b/http/src/main/java/org/bambooarch/http/StrictHttp1.java
@@ -1,5 +1,7 @@
 package org.bambooarch.http;
 
+import com.linecorp.armeria.client.ClientFactory;
+import com.linecorp.armeria.client.ClientFactoryOptions;
 import com.linecorp.armeria.common.ProtocolViolationException;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
@@ -29,6 +31,20 @@
     pipeline.addFirst(new CodecReplacer());
   }
 
+  /** Returns a factory for all clients that need no other option; it is never closed. */
+  public static ClientFactory sharedFactory() {
+    return SharedFactory.INSTANCE;
+  }
+
+  /** Creates the factory on first use, since not every process needs one. */
+  private static final class SharedFactory {
+
+    private static final ClientFactory INSTANCE =
+        ClientFactory.builder()
+            .option(ClientFactoryOptions.CHANNEL_PIPELINE_CUSTOMIZER, StrictHttp1::prepare)
+            .build();
+  }
+
   /** Replaces the codec when the connection is open, since Armeria adds it after preparing. */
   private static final class CodecReplacer extends ChannelInboundHandlerAdapter {
 
--- a/store/src/main/java/org/bambooarch/store/http/HttpPlatformClient.java
+++ b/store/src/main/java/org/bambooarch/store/http/HttpPlatformClient.java
@@ -15,6 +15,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import org.bambooarch.http.StrictHttp1;
 import org.bambooarch.store.CommitResult;
 import org.bambooarch.store.InstanceList;
 import org.bambooarch.store.InstanceRecord;
@@ -58,6 +59,7 @@
   public static HttpPlatformClient create(String baseUri, Duration callTimeout) {
     WebClient client =
         WebClient.builder(baseUri)
+            .factory(StrictHttp1.sharedFactory())
             .responseTimeout(callTimeout)
             .writeTimeout(callTimeout)
             .maxResponseLength(0)
