Decode the responses that the command line reads strictly

The command line took malformed responses of an instance for answers: a state dump or a response cut to a malformed length, the status 0200 as 200, and a part of a response without a length as the whole one when the connection was reset within it.

Cause: its clients decode with Netty's own codec, as the other ones did.

Change: they use StrictHttp1; such a response counts as none.

--- a/cli/src/main/java/org/bambooarch/cli/http/CallersClient.java
+++ b/cli/src/main/java/org/bambooarch/cli/http/CallersClient.java
@@ -14,6 +14,7 @@
 import org.bambooarch.entry.lookup.LookupService;
 import org.bambooarch.entry.lookup.LookupService.LookupInstance;
 import org.bambooarch.entry.lookup.LookupService.LookupResponse;
+import org.bambooarch.http.StrictHttp1;
 
 /** A client of the callers' port: looks up instances and sends requests to them. */
 public final class CallersClient {
@@ -79,7 +80,11 @@
 
   /** Returns a client of an instance, which pools its connections. */
   public static WebClient webClient(String entryUri) {
-    return WebClient.builder(entryUri).responseTimeout(TIMEOUT).maxResponseLength(0).build();
+    return WebClient.builder(entryUri)
+        .factory(StrictHttp1.sharedFactory())
+        .responseTimeout(TIMEOUT)
+        .maxResponseLength(0)
+        .build();
   }
 
   /** Returns the callers' URI of an instance from a look-up; IPv6 addresses get brackets. */
--- a/cli/src/main/java/org/bambooarch/cli/http/OperatorsClient.java
+++ b/cli/src/main/java/org/bambooarch/cli/http/OperatorsClient.java
@@ -9,6 +9,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.CompletionException;
 import org.bambooarch.entry.operators.OperatorsServer;
+import org.bambooarch.http.StrictHttp1;
 import org.bambooarch.store.InstanceRecord;
 
 /** A client of one instance's operators' port; it waits for a response for 3 seconds at most. */
@@ -28,7 +29,11 @@
     String host = instance.host().contains(":") ? "[" + instance.host() + "]" : instance.host();
     String uri = "http://" + host + ":" + instance.operatorsPort();
     return new OperatorsClient(
-        WebClient.builder(uri).responseTimeout(TIMEOUT).maxResponseLength(0).build());
+        WebClient.builder(uri)
+            .factory(StrictHttp1.sharedFactory())
+            .responseTimeout(TIMEOUT)
+            .maxResponseLength(0)
+            .build());
   }
 
   /** Returns the state dump as JSON, or empty if the instance does not answer. */
