Simulate the end of a server's output as the transport reports it

BodyPathRandomTest closed a simulated channel at the end of the input. Since the decoder asks for half-closure, a real channel reports that end as an event; without it each response without a length would fail in the random run, and their completion would not be played any more.

--- a/gateway/src/test/java/org/bambooarch/gateway/bodypath/SimulatedChannel.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/bodypath/SimulatedChannel.java
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.DefaultChannelConfig;
 import io.netty.channel.EventLoop;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.util.ArrayDeque;
@@ -141,7 +142,9 @@
     }
     if (unread.isEmpty()) {
       if (endOfInput) {
-        close();
+        endOfInput = false;
+        // What a channel with half-closure does, which the decoder of responses asks for.
+        pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
       }
       return;
     }
