--- a/cli/src/test/java/org/bambooarch/cli/http/MalformedInstanceResponseTest.java
+++ b/cli/src/test/java/org/bambooarch/cli/http/MalformedInstanceResponseTest.java
@@ -32,7 +32,8 @@
     "HTTP/1.1 200 OK\r\nx y: z\r\ncontent-length: 2\r\n\r\n{}",
     "HTTP/1.1 200 OK\r\nx\u0001y: z\r\ncontent-length: 2\r\n\r\n{}",
     "HTTP/1.1 200 OK\r\ncontent-length x: 2\r\n\r\n{}, more",
-    "HTTP/1.1 0200 OK\r\ncontent-length: 2\r\n\r\n{}"
+    "HTTP/1.1 0200 OK\r\ncontent-length: 2\r\n\r\n{}",
+    "HTTP/1.1 000 OK\r\ncontent-length: 2\r\n\r\n{}"
   };
 
   private ServerSocket listener;
