--- a/http/src/main/java/org/bambooarch/http/ResponseDecoder.java
+++ b/http/src/main/java/org/bambooarch/http/ResponseDecoder.java
@@ -61,7 +61,7 @@
   @Override
   public void handlerAdded(ChannelHandlerContext context) throws Exception {
     super.handlerAdded(context);
-    // Without it, all ends of a connection look alike to the handlers.
+    // The end of the server's output then comes as an event, and not like any other end.
     context.channel().config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
   }
 
