Share the waiting client of two tests of connections

UnframedResponseTest repeated a class of TargetConnectionPoolTest, and the same handling of exceptions around each action of its server; a head without an end would have kept it in a loop.

--- a/gateway/src/test/java/org/bambooarch/gateway/target/TargetConnectionPoolTest.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/target/TargetConnectionPoolTest.java
@@ -130,29 +130,6 @@
     }
   }
 
-  private static final class WaitingClient implements SendGate.Owner {
-
-    @Override
-    public boolean isFinished() {
-      return false;
-    }
-
-    @Override
-    public double serviceNanos() {
-      return 0;
-    }
-
-    @Override
-    public boolean mayRun() {
-      return true;
-    }
-
-    @Override
-    public void onRefused(SendGate.Refusal refusal) {
-      throw new IllegalStateException("refused: " + refusal);
-    }
-  }
-
   /** Sends a request; returns the number of its connection when the response is complete. */
   private int send(String requestId, boolean idempotent) throws Exception {
     DefaultHttpHeaders headers = new DefaultHttpHeaders();
--- a/gateway/src/test/java/org/bambooarch/gateway/target/UnframedResponseTest.java
+++ b/gateway/src/test/java/org/bambooarch/gateway/target/UnframedResponseTest.java
@@ -131,29 +131,6 @@
     }
   }
 
-  private static final class WaitingClient implements SendGate.Owner {
-
-    @Override
-    public boolean isFinished() {
-      return false;
-    }
-
-    @Override
-    public double serviceNanos() {
-      return 0;
-    }
-
-    @Override
-    public boolean mayRun() {
-      return true;
-    }
-
-    @Override
-    public void onRefused(SendGate.Refusal refusal) {
-      throw new IllegalStateException("refused: " + refusal);
-    }
-  }
-
   /**
    * Sends a request with a streamed body, whose response begins before the body is sent.
    *
@@ -186,7 +163,11 @@
   private static void readHead(Socket accepted) throws IOException {
     StringBuilder head = new StringBuilder();
     while (head.indexOf("\r\n\r\n") < 0) {
-      head.append((char) accepted.getInputStream().read());
+      int next = accepted.getInputStream().read();
+      if (next < 0) {
+        throw new IOException("the connection ended within the head of the request");
+      }
+      head.append((char) next);
     }
   }
 
@@ -202,30 +183,34 @@
     }
   }
 
-  private void resetByServer() {
+  /** An action on the server's socket. */
+  private interface SocketAction {
+    void run(Socket socket) throws IOException;
+  }
+
+  private void atServer(SocketAction action) {
     try {
-      serverSide.join().setSoLinger(true, 0);
-      serverSide.join().close();
+      action.run(serverSide.join());
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
   }
 
+  private void resetByServer() {
+    atServer(
+        socket -> {
+          socket.setSoLinger(true, 0);
+          socket.close();
+        });
+  }
+
   /** Closes the connection when nothing is unread, so that the server's output ends regularly. */
   private void closeByServer() {
-    try {
-      serverSide.join().close();
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
-    }
+    atServer(Socket::close);
   }
 
   private void endOutputOfServer() {
-    try {
-      serverSide.join().shutdownOutput();
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
-    }
+    atServer(Socket::shutdownOutput);
   }
 
   // Clients got the part as a complete response.
