--- a/entry/src/main/java/org/bambooarch/entry/request/target/TargetExchange.java
+++ b/entry/src/main/java/org/bambooarch/entry/request/target/TargetExchange.java
@@ -156,6 +156,7 @@
     if (cause instanceof UnprocessedRequestException) {
       return new Result.Failed(new AttemptOutcome.NotSent());
     }
+    // StrictHttp1 closes the connection on a malformed response.
     if (cause.getCause() instanceof ProtocolViolationException) {
       return new Result.Failed(new AttemptOutcome.InvalidResponse(0));
     }
--- a/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnection.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/target/TargetConnection.java
@@ -56,6 +56,7 @@
     HEAD,
     SKIPPED_RESPONSE,
     BODY,
+    /** The server has ended its output, while the request is still being sent. */
     END_OF_STREAM
   }
 
@@ -370,6 +371,7 @@
     completeResponse();
   }
 
+  /** Returns whether all of the request was written to the socket. */
   private boolean isRequestSent() {
     ChannelOutboundBuffer unsent = channel.unsafe().outboundBuffer();
     return requestComplete && unsent != null && unsent.isEmpty();
