Keep the requests that crash servers in the platform's store

Cause: what an instance knows of crashes was in its memory only, and heartbeats repeat a crash for two seconds. An instance that started heard nothing of earlier ones, and after all had been restarted nobody knew.

Change: the instances at which a blocked request crashed servers write its crashes to the table crashing-requests, dated by the store's steady clock: one row for each request, replaced as a whole. An instance reads the table when it has started, before it writes. A complete response, or an age of ten minutes at a read, removes the row. Everything is written again when the store returns from an older copy. Two log lines and a metric, bambooarch_blocked_requests, tell what was read, written and is blocked.

Builds without the table ignore it, and nothing changes in heartbeats.

--- a/core/src/main/java/org/bambooarch/core/steering/fleet/CrashHistory.java
+++ b/core/src/main/java/org/bambooarch/core/steering/fleet/CrashHistory.java
@@ -1,11 +1,15 @@
 package org.bambooarch.core.steering.fleet;
 
 import java.util.ArrayDeque;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.stream.Stream;
 
 /**
  * Blocks requests that servers crashed on, at this or at other instances.
@@ -17,6 +21,10 @@
  *
  * <p>Requests are identified by a hash of what they ask.
  *
+ * <p>Heartbeats spread crashes among the instances that run. A request that is blocked is also to
+ * be recorded in the platform's store, from which instances that start learn of it: otherwise it
+ * would be forgotten when all instances have been restarted, one after the other or at once.
+ *
  * <p>Not thread-safe.
  */
 public final class CrashHistory {
@@ -39,7 +47,10 @@
    */
   static final long LONG_BLOCK_NANOS = 600_000_000_000L;
 
-  /** Largest number of requests kept; beyond it the oldest, or all own crash times, are dropped. */
+  /**
+   * Largest number of requests kept, and to be recorded; beyond it the oldest, or all own crash
+   * times, are dropped, and no further ones are recorded.
+   */
   static final int MAX_REQUESTS = 4_096;
 
   /**
@@ -62,7 +73,18 @@
 
   private record OwnCrash(Heartbeat.ServerCrash crash, long sinceNanos) {}
 
-  private record Crash(int serverHash, long nanos) {}
+  /**
+   * One crash of a server while it ran a request.
+   *
+   * @param serverHash hash of the server's name
+   * @param nanos when it crashed, on the monotonic clock
+   */
+  public record Crash(int serverHash, long nanos) {
+
+    private boolean isSameAs(Crash other) {
+      return serverHash == other.serverHash && Math.abs(nanos - other.nanos) < SAME_CRASH_NANOS;
+    }
+  }
 
   private final Map<Long, Deque<Crash>> crashesByRequest =
       new LinkedHashMap<>() {
@@ -74,6 +96,7 @@
 
   private final Deque<OwnCrash> ownCrashes = new ArrayDeque<>();
   private final Map<Long, Long> lastCrashNanosByRequest = new HashMap<>();
+  private final Set<Long> unrecorded = new LinkedHashSet<>();
 
   /**
    * Records that a server crashed while it ran a request of this instance.
@@ -105,9 +128,62 @@
     crashes.forEach(crash -> add(crash, nowNanos));
   }
 
+  /**
+   * Adds crashes that the store has recorded.
+   *
+   * @param crashes crashes during one request, in any order
+   */
+  public void onRecorded(long requestHash, List<Crash> crashes, long nowNanos) {
+    if (crashes.stream().allMatch(crash -> nowNanos - crash.nanos() >= LONG_BLOCK_NANOS)) {
+      markUnrecorded(requestHash);
+      return;
+    }
+    Deque<Crash> known = crashesByRequest.computeIfAbsent(requestHash, hash -> new ArrayDeque<>());
+    List<Crash> missing =
+        crashes.stream().filter(crash -> known.stream().noneMatch(crash::isSameAs)).toList();
+    List<Crash> newest =
+        Stream.concat(known.stream(), missing.stream())
+            .sorted(Comparator.comparingLong(crash -> crash.nanos() - nowNanos))
+            .toList();
+    known.clear();
+    newest.stream()
+        .skip(Math.max(0, newest.size() - CRASHES_TO_BLOCK_LONGER))
+        .forEach(known::addLast);
+  }
+
+  /**
+   * Returns requests whose crashes the store should record now, and does not return them again
+   * until something of them changes. Only instances at which a request crashed a server record it.
+   */
+  public List<Long> takeUnrecorded(int maxCount) {
+    List<Long> requestHashes = unrecorded.stream().limit(maxCount).toList();
+    requestHashes.forEach(unrecorded::remove);
+    return requestHashes;
+  }
+
+  /** Lets a request be returned by {@link #takeUnrecorded} again, since it was not recorded. */
+  public void onRecordingFailed(long requestHash) {
+    markUnrecorded(requestHash);
+  }
+
+  /** Lets all requests be recorded again, since the store may have lost what it recorded. */
+  public void onRecordsLost() {
+    crashesByRequest.keySet().forEach(this::markUnrecordedIfBlocked);
+  }
+
+  /**
+   * Returns the newest crashes during a request, oldest first; none if its record is to be removed.
+   */
+  public List<Crash> crashesOf(long requestHash) {
+    return List.copyOf(crashesByRequest.getOrDefault(requestHash, new ArrayDeque<>()));
+  }
+
   /** Clears a request that got a complete response. */
   public void onAnswered(long requestHash) {
-    crashesByRequest.remove(requestHash);
+    Deque<Crash> crashes = crashesByRequest.remove(requestHash);
+    if (crashes != null && crashes.size() >= CRASHES_TO_BLOCK) {
+      markUnrecorded(requestHash);
+    }
     ownCrashes.removeIf(own -> own.crash().requestHash() == requestHash);
   }
 
@@ -122,6 +198,11 @@
     return nowNanos - crashes.getLast().nanos() >= blockNanos;
   }
 
+  /** Returns the number of requests that are blocked. */
+  public long blockedRequests(long nowNanos) {
+    return crashesByRequest.keySet().stream().filter(hash -> !maySend(hash, nowNanos)).count();
+  }
+
   /** Returns the newest crashes at this instance, for its heartbeats; oldest first. */
   public List<Heartbeat.ServerCrash> recentOwnCrashes(long nowNanos) {
     ownCrashes.removeIf(own -> nowNanos - own.sinceNanos() > REPEAT_NANOS);
@@ -131,18 +212,27 @@
   private void add(Heartbeat.ServerCrash crash, long nowNanos) {
     Deque<Crash> crashes =
         crashesByRequest.computeIfAbsent(crash.requestHash(), hash -> new ArrayDeque<>());
-    boolean alreadyCounted =
-        crashes.stream()
-            .anyMatch(
-                known ->
-                    known.serverHash() == crash.serverHash()
-                        && nowNanos - known.nanos() < SAME_CRASH_NANOS);
-    if (alreadyCounted) {
+    Crash added = new Crash(crash.serverHash(), nowNanos);
+    if (crashes.stream().anyMatch(added::isSameAs)) {
       return;
     }
-    crashes.addLast(new Crash(crash.serverHash(), nowNanos));
+    crashes.addLast(added);
     if (crashes.size() > CRASHES_TO_BLOCK_LONGER) {
       crashes.removeFirst();
     }
+    markUnrecordedIfBlocked(crash.requestHash());
+  }
+
+  private void markUnrecordedIfBlocked(long requestHash) {
+    boolean blocked = crashesByRequest.get(requestHash).size() >= CRASHES_TO_BLOCK;
+    if (blocked && lastCrashNanosByRequest.containsKey(requestHash)) {
+      markUnrecorded(requestHash);
+    }
+  }
+
+  private void markUnrecorded(long requestHash) {
+    if (unrecorded.size() < MAX_REQUESTS) {
+      unrecorded.add(requestHash);
+    }
   }
 }
--- a/core/src/test/java/org/bambooarch/core/steering/fleet/CrashHistoryTest.java
+++ b/core/src/test/java/org/bambooarch/core/steering/fleet/CrashHistoryTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 class CrashHistoryTest {
@@ -116,4 +117,122 @@
     assertThat(maySend(2)).isTrue();
     assertThat(history.recentOwnCrashes(2 * NANOS_PER_SECOND)).isEmpty();
   }
+
+  private void record(CrashHistory.Crash... crashes) {
+    history.onRecorded(REQUEST_HASH, List.of(crashes), 100 * NANOS_PER_SECOND);
+  }
+
+  private static CrashHistory.Crash recorded(int serverHash, long atSeconds) {
+    return new CrashHistory.Crash(serverHash, atSeconds * NANOS_PER_SECOND);
+  }
+
+  private List<Long> takeUnrecorded() {
+    return history.takeUnrecorded(10);
+  }
+
+  // Regression: a request that had crashed three servers was sent again after a restart.
+  @Test
+  void should_block_a_request_for_the_rest_of_the_time_when_its_crashes_are_recorded() {
+    record(recorded(1, 10), recorded(2, 11), recorded(3, 50));
+
+    assertThat(maySend(649)).isFalse();
+    assertThat(maySend(650)).isTrue();
+  }
+
+  @Test
+  void should_count_recorded_crashes_when_another_server_crashes() {
+    record(recorded(2, 11), recorded(1, 10));
+    assertThat(maySend(100)).isTrue();
+    crash(3, 101);
+
+    assertThat(maySend(111)).isFalse();
+    assertThat(history.crashesOf(REQUEST_HASH))
+        .containsExactly(recorded(1, 10), recorded(2, 11), recorded(3, 101));
+  }
+
+  @Test
+  void should_count_a_crash_once_when_it_is_known_and_recorded() {
+    crash(1, 99);
+    record(recorded(1, 98));
+
+    assertThat(history.crashesOf(REQUEST_HASH)).containsExactly(recorded(1, 99));
+    assertThat(maySend(100)).isTrue();
+  }
+
+  @Test
+  void should_keep_the_newest_crashes_when_more_are_recorded_than_are_needed() {
+    crash(9, 100);
+    record(recorded(3, 30), recorded(1, 10), recorded(2, 20));
+
+    assertThat(history.crashesOf(REQUEST_HASH))
+        .containsExactly(recorded(2, 20), recorded(3, 30), recorded(9, 100));
+  }
+
+  @Test
+  void should_have_a_record_removed_when_its_crashes_are_older_than_a_block() {
+    history.onRecorded(REQUEST_HASH, List.of(recorded(1, 0)), 600 * NANOS_PER_SECOND);
+
+    assertThat(takeUnrecorded()).containsExactly(REQUEST_HASH);
+    assertThat(history.crashesOf(REQUEST_HASH)).isEmpty();
+  }
+
+  @Test
+  void should_have_a_request_recorded_once_for_each_change_when_it_is_blocked() {
+    crash(1, 1);
+    assertThat(takeUnrecorded()).isEmpty();
+    crash(2, 2);
+    assertThat(takeUnrecorded()).containsExactly(REQUEST_HASH);
+    assertThat(takeUnrecorded()).isEmpty();
+    crash(3, 13);
+    assertThat(takeUnrecorded()).containsExactly(REQUEST_HASH);
+  }
+
+  @Test
+  void should_have_a_request_recorded_when_the_second_crash_was_at_another_instance() {
+    crash(1, 1);
+    history.onPeerCrashes(
+        List.of(new Heartbeat.ServerCrash(REQUEST_HASH, 2)), 2 * NANOS_PER_SECOND);
+
+    assertThat(takeUnrecorded()).containsExactly(REQUEST_HASH);
+  }
+
+  // All instances hear of a crash; each of them would write the same record.
+  @Test
+  void should_not_have_a_request_recorded_when_it_crashed_servers_of_other_instances_only() {
+    history.onPeerCrashes(
+        List.of(
+            new Heartbeat.ServerCrash(REQUEST_HASH, 1), new Heartbeat.ServerCrash(REQUEST_HASH, 2)),
+        2 * NANOS_PER_SECOND);
+    history.onRecordsLost();
+
+    assertThat(takeUnrecorded()).isEmpty();
+  }
+
+  @Test
+  void should_have_a_record_removed_when_the_request_got_a_complete_response() {
+    record(recorded(1, 10), recorded(2, 11));
+    history.onAnswered(REQUEST_HASH);
+
+    assertThat(takeUnrecorded()).containsExactly(REQUEST_HASH);
+    assertThat(history.crashesOf(REQUEST_HASH)).isEmpty();
+  }
+
+  @Test
+  void should_have_blocked_requests_recorded_again_when_the_store_lost_their_records() {
+    crash(1, 1);
+    crash(2, 2);
+    takeUnrecorded();
+    history.onRecordsLost();
+
+    assertThat(takeUnrecorded()).containsExactly(REQUEST_HASH);
+  }
+
+  @Test
+  void should_return_a_request_again_when_recording_it_failed() {
+    crash(1, 1);
+    crash(2, 2);
+    takeUnrecorded().forEach(history::onRecordingFailed);
+
+    assertThat(takeUnrecorded()).containsExactly(REQUEST_HASH);
+  }
 }
--- a/gateway/src/main/java/org/bambooarch/gateway/Gateway.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/Gateway.java
@@ -270,6 +270,10 @@
         "bambooarch_live_instances",
         "Instances whose heartbeats arrive, this one included.",
         () -> state.fleet().liveHeartbeats(clock.monotonicNanos()).size() + 1);
+    metrics.registerGauge(
+        "bambooarch_blocked_requests",
+        "Requests that are sent to no server, since servers crashed on them.",
+        () -> state.crashes().blockedRequests(clock.monotonicNanos()));
     metrics.registerGauge(
         "bambooarch_partitioned_from_servers",
         "1 while no server can be reached, otherwise 0.",
--- a/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ControlState.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.bambooarch.core.steering.config.HomeRegions;
 import org.bambooarch.core.steering.config.ServicePolicy;
@@ -297,6 +298,14 @@
     return listProgress.confirmedStoreMillis(topic);
   }
 
+  /**
+   * Returns the time of the store's steady clock at a monotonic time, in milliseconds; empty before
+   * the store has stated one.
+   */
+  OptionalLong storeMillisAt(long nanos) {
+    return listProgress.storeMillisAt(nanos);
+  }
+
   /**
    * Records that the store responds again to this instance. It may have responded to others before.
    *
--- a/gateway/src/main/java/org/bambooarch/gateway/control/ListProgress.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/ListProgress.java
@@ -207,6 +207,14 @@
     return progresses.get(topic).confirmedStoreMillis;
   }
 
+  /**
+   * Returns the time of the store's steady clock at a monotonic time, in milliseconds; empty before
+   * the first response.
+   */
+  OptionalLong storeMillisAt(long nanos) {
+    return storeClock.toStoreMillis(nanos);
+  }
+
   /**
    * Returns the time, by the store's clock, between the first and the last confirmation of other
    * content to other instances since this instance's own last confirmation, in milliseconds.
--- a/gateway/src/main/java/org/bambooarch/gateway/control/StoreClock.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/StoreClock.java
@@ -51,4 +51,12 @@
         ? OptionalLong.of(offsetNanos + storeMillis * NANOS_PER_MILLI)
         : OptionalLong.empty();
   }
+
+  /**
+   * Returns the time of the store's clock at a monotonic time, in milliseconds; empty before the
+   * first response.
+   */
+  OptionalLong toStoreMillis(long nanos) {
+    return known ? OptionalLong.of((nanos - offsetNanos) / NANOS_PER_MILLI) : OptionalLong.empty();
+  }
 }
--- a/gateway/src/main/java/org/bambooarch/gateway/control/StoreSynchronizer.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/StoreSynchronizer.java
@@ -14,8 +14,8 @@
 import org.tinylog.Logger;
 
 /**
- * Registers the instance in the store and keeps the control state up to date with the store's
- * lists.
+ * Registers the instance in the store, keeps the control state up to date with the store's lists,
+ * and has requests recorded that servers crash on.
  *
  * <p>An instance registers itself first and then reads the list of instances, so that of any two
  * that start at the same time at least one finds the other. The heartbeats of that one make it
@@ -37,7 +37,9 @@
   private final RandomGenerator random;
   private final Map<Topic, ListWatcher> watchers = new EnumMap<>(Topic.class);
   private final StoreEra era = new StoreEra(this::onNewEra);
+  private final CrashRecorder crashRecorder;
   private boolean started;
+  private boolean stopped;
   private boolean registered;
   private long nextRegisterNanos;
   private boolean deregistered;
@@ -60,6 +62,7 @@
     this.state = state;
     this.loop = loop;
     this.random = random;
+    this.crashRecorder = new CrashRecorder(store, state, loop);
     ListWatcher.Listener listener = listener(onConfirmed);
     for (Topic topic : List.of(Topic.OPERATOR, Topic.SERVERS)) {
       watchers.put(
@@ -112,11 +115,12 @@
   /** Stops watching, and removes this instance from the list of instances if it is still there. */
   public void stop() {
     deregister();
+    stopped = true;
     watchers.values().forEach(ListWatcher::stop);
   }
 
   /**
-   * Asks the store for each list whose age requires it. Called every {@link
+   * Asks the store for each list whose age requires it, and records crashes. Called every {@link
    * ControlState#TICK_MILLIS}.
    */
   public void tick() {
@@ -124,6 +128,9 @@
     if (started && !deregistered && !registered && isRegisterDue()) {
       register();
     }
+    if (started && !stopped) {
+      crashRecorder.tick();
+    }
   }
 
   private boolean isRegisterDue() {
@@ -138,6 +145,7 @@
   private void onNewEra() {
     state.onStoreReverted();
     watchers.values().forEach(ListWatcher::onNewEra);
+    crashRecorder.onNewEra();
     registered = false;
     if (!deregistered) {
       register();
--- a/gateway/src/main/java/org/bambooarch/gateway/spi/ControlStore.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/spi/ControlStore.java
@@ -2,8 +2,10 @@
 
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.HttpStatus;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import org.bambooarch.core.steering.fleet.CrashRecord;
 import org.bambooarch.core.steering.fleet.InstanceIdentity;
 
 /**
@@ -52,6 +54,21 @@
   /** Removes an instance from the list of instances. */
   CompletableFuture<Void> deregister(InstanceIdentity instance);
 
+  /** Reads the recorded crashes of all requests. By default, there are none. */
+  default CompletableFuture<RecordedCrashes> readCrashes() {
+    return CompletableFuture.completedFuture(new RecordedCrashes(0, List.of()));
+  }
+
+  /**
+   * Replaces the records of requests, and removes those of requests without crashes: all of them or
+   * none. By default, nothing is recorded.
+   *
+   * @param records at most 100
+   */
+  default CompletableFuture<Void> recordCrashes(List<CrashRecord> records) {
+    return CompletableFuture.completedFuture(null);
+  }
+
   /**
    * Returns a client whose calls go through another instance, which passes them on to the store.
    * For {@link #read} and for calls of {@link #watch} that do not wait.
