--- a/gateway/src/main/java/org/bambooarch/gateway/control/CrashRecorder.java
+++ b/gateway/src/main/java/org/bambooarch/gateway/control/CrashRecorder.java
@@ -73,21 +73,19 @@
   private <T> void call(
       CompletableFuture<T> response, Consumer<T> onSuccess, Consumer<Throwable> onFailure) {
     calling = true;
-    response.whenCompleteAsync(
-        (result, failure) -> {
-          calling = false;
-          if (failure == null) {
-            onSuccess.accept(result);
-          } else {
-            nextCallNanos = nowNanos() + RETRY_NANOS;
-            onFailure.accept(failure);
-          }
-        },
-        loop);
+    response
+        .whenCompleteAsync((result, failure) -> calling = false, loop)
+        .thenAccept(onSuccess)
+        .whenComplete(
+            (done, failure) -> {
+              if (failure != null) {
+                nextCallNanos = nowNanos() + RETRY_NANOS;
+                onFailure.accept(failure);
+              }
+            });
   }
 
   private void onRead(RecordedCrashes recorded) {
-    read = true;
     for (CrashRecord record : recorded.records()) {
       List<CrashHistory.Crash> crashes = new ArrayList<>();
       for (CrashRecord.Crash crash : record.crashes()) {
@@ -97,6 +95,7 @@
       }
       state.crashes().onRecorded(record.requestHash(), crashes, nowNanos());
     }
+    read = true;
     Logger.info("event=crashes-read requests={}", recorded.records().size());
   }
 
